--- a/cmd/tanagerweir/cmds/commands.go
+++ b/cmd/tanagerweir/cmds/commands.go
@@ -62,7 +62,7 @@
 			Usage:     "check a settings file and start nothing",
 			ArgsUsage: "FILE",
 			Action:    check,
-		}},
+		}, entryCommand(out)},
 	})
 }
 
--- /dev/null
+++ b/pkg/connection/forwarding/forwarding.go
@@ -0,0 +1,195 @@
+// Package forwarding decides where each packet of a flow goes.
+//
+// The instance that places a flow writes the mark of the chosen backend server
+// into the flow's packets. Both ends send the mark back, so any instance can
+// forward any later packet of the flow without a record of it. Records that a
+// Core keeps of flows only tell how backend servers answer; losing them breaks
+// nothing.
+//
+// # Usage
+//
+//	core := forwarding.New(forwarding.Options{DataCentre: "dakar-1", Seed: seed})
+//	core.Adopt(now, directory)
+//	d := core.Decide(now, parsed)
+//	if d.Verdict == forwarding.Forward {
+//		send(d.Server.Endpoint, d.Server.Number, d.Mark)
+//	}
+//
+// Times are those of a steady clock that begins at any moment. A Core does no
+// I/O and is not safe for use from several goroutines.
+package forwarding
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
+	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
+)
+
+// Verdict says what becomes of a packet.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Drop leaves the packet to its sender, which sends it again.
+	Drop Verdict = iota
+	// Forward sends it to the backend server.
+	Forward
+	// Reset tells the caller that the flow is given up.
+	Reset
+)
+
+// Reason says why a decision was taken.
+type Reason uint8
+
+// Reasons of decisions.
+const (
+	// ByMark: the packet names its backend server.
+	ByMark Reason = iota
+	// Placed: a new flow was placed.
+	Placed
+	// PlacedAgain: a copy of an opening packet went to another backend server.
+	PlacedAgain
+	// NoMark: a packet in the middle of a flow names no backend server.
+	NoMark
+	// UnknownMark: the named backend server isn't known here, or not yet.
+	UnknownMark
+	// ServerGone: the named backend server has surely ended.
+	ServerGone
+	// NoRoute: no route has this address.
+	NoRoute
+	// NoServer: no backend server can take a new flow of the route.
+	NoServer
+	// Unsynchronised: nothing is known yet of the configuration.
+	Unsynchronised
+)
+
+var reasonNames = [...]string{
+	"ByMark", "Placed", "PlacedAgain", "NoMark", "UnknownMark", "ServerGone", "NoRoute", "NoServer", "Unsynchronised",
+}
+
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	all := make([]Reason, len(reasonNames))
+	for i := range all {
+		all[i] = Reason(i)
+	}
+	return all
+}
+
+// String returns the name that logs and metrics show.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Decision is what becomes of one packet.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+	// Endpoint, Number and Mark belong to the backend server of Forward.
+	Endpoint netip.AddrPort
+	Number   uint64
+	Mark     mark.Mark
+	// Server is its identifier, for logs.
+	Server string
+}
+
+// Options are what a Core is told at its start.
+type Options struct {
+	// DataCentre is the instance's own.
+	DataCentre string
+	// Seed decides between equally good backend servers.
+	Seed uint64
+	// MaxFlow is how long a flow may last; that long a backend server that left
+	// stays known by its mark.
+	MaxFlow time.Duration
+}
+
+// Core decides for the packets that one instance gets.
+type Core struct {
+	options   Options
+	directory directory.Directory
+	servers   registry
+	flows     flows
+	draws     uint64
+}
+
+// New returns a Core that knows nothing yet.
+func New(o Options) *Core {
+	return &Core{options: o, servers: newRegistry(), flows: newFlows(), draws: o.Seed}
+}
+
+// Decide takes a caller's packet.
+func (c *Core) Decide(now time.Duration, s segment.Segment) Decision {
+	if s.Flags.Has(segment.Open) {
+		return c.open(now, s)
+	}
+	if s.Mark == uint32(mark.None) {
+		return Decision{Verdict: Drop, Reason: NoMark}
+	}
+	v, ok := c.servers.byMark[mark.Mark(s.Mark)]
+	if !ok {
+		return Decision{Verdict: Drop, Reason: UnknownMark}
+	}
+	c.observe(now, s, v)
+	return v.forward(ByMark)
+}
+
+// open decides for a packet that asks for a new flow.
+func (c *Core) open(now time.Duration, s segment.Segment) Decision {
+	if c.directory.Version() == 0 {
+		return Decision{Verdict: Drop, Reason: Unsynchronised}
+	}
+	route, ok := c.directory.Route(s.Flow.Route)
+	if !ok {
+		return Decision{Verdict: Reset, Reason: NoRoute}
+	}
+	f := c.flows.opened(now, s)
+	v := c.place(now, route, f)
+	if v == nil {
+		return Decision{Verdict: Reset, Reason: NoServer}
+	}
+	c.placed(now, f, v)
+	if s.Copy() > 0 {
+		return v.forward(PlacedAgain)
+	}
+	return v.forward(Placed)
+}
+
+func (v *server) forward(r Reason) Decision {
+	return Decision{Verdict: Forward, Reason: r, Endpoint: v.Endpoint, Number: v.Number, Mark: v.mark, Server: v.ID}
+}
+
+// serviceOf chooses the service of a route for a flow. All copies of an opening
+// packet get the same one.
+func serviceOf(r directory.Route, f segment.Flow) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := float64(hash(f)>>11) / (1 << 53) * total
+	for _, s := range r.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+func hash(f segment.Flow) uint64 {
+	var b [12]byte
+	caller, route := f.Caller.Addr().As4(), f.Route.Addr().As4()
+	copy(b[:], caller[:])
+	copy(b[4:], route[:])
+	b[8], b[9] = byte(f.Caller.Port()>>8), byte(f.Caller.Port())
+	b[10], b[11] = byte(f.Route.Port()>>8), byte(f.Route.Port())
+	return xxhash.Sum64(b[:])
+}
+
+// Tick does what time alone brings.
+func (c *Core) Tick(now time.Duration) { c.servers.expire(now, c.options.MaxFlow) }
--- /dev/null
+++ b/pkg/connection/forwarding/registry.go
@@ -0,0 +1,85 @@
+package forwarding
+
+import (
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
+	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
+)
+
+// server is a backend server with what this instance has seen of it.
+type server struct {
+	directory.Server
+	mark mark.Mark
+	// gone is when the directory lost it, while missing.
+	gone    time.Duration
+	missing bool
+	// coldUntil is when it has warmed up.
+	coldUntil time.Duration
+	view      view
+}
+
+// registry holds the backend servers that marks can name.
+type registry struct {
+	byMark    map[mark.Mark]*server
+	byService map[string][]*server
+}
+
+func newRegistry() registry {
+	return registry{byMark: make(map[mark.Mark]*server), byService: make(map[string][]*server)}
+}
+
+// Adopt takes a newer directory.
+func (c *Core) Adopt(now time.Duration, d directory.Directory) {
+	present := make(map[mark.Mark]bool, len(d.Servers()))
+	for _, described := range d.Servers() {
+		m := mark.Of(described.ID)
+		present[m] = true
+		c.servers.describe(now, m, described)
+	}
+	for m, v := range c.servers.byMark {
+		if !present[m] && !v.missing {
+			v.missing, v.gone = true, now
+		}
+	}
+	c.directory = d
+	c.servers.index()
+}
+
+func (r *registry) describe(now time.Duration, m mark.Mark, d directory.Server) {
+	v, known := r.byMark[m]
+	if !known {
+		v = &server{mark: m}
+		r.byMark[m] = v
+	}
+	if v.ID != "" && v.ID != d.ID {
+		// Two identifiers with one mark: the first keeps it, and the other gets
+		// no flow, which can't be told apart later.
+		return
+	}
+	if d.Revision != v.Revision || v.missing {
+		v.coldUntil = now + d.ColdLeft
+	}
+	if d.Born != v.Born {
+		v.view = view{}
+	}
+	v.Server, v.missing = d, false
+}
+
+func (r *registry) index() {
+	clear(r.byService)
+	for _, v := range r.byMark {
+		if !v.missing {
+			r.byService[v.Service] = append(r.byService[v.Service], v)
+		}
+	}
+}
+
+// expire forgets backend servers that left longer ago than any flow lasts.
+func (r *registry) expire(now, maxFlow time.Duration) {
+	for m, v := range r.byMark {
+		if v.missing && now-v.gone > maxFlow {
+			delete(r.byMark, m)
+		}
+	}
+}
