--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"time"
 
@@ -73,7 +72,6 @@
 		return
 	}
 	decision := d.core.Decide(now, s)
-	debugPacket(now, s, decision, datagram[d.options.Format.Headroom()+31:])
 	switch decision.Verdict {
 	case forwarding.Forward:
 		d.options.Format.Address(datagram, decision.Number, uint32(decision.Mark))
@@ -89,5 +87,3 @@
 		d.options.Logger.Debug("Packets: one can't be sent.", "To", to, "Error", err)
 	}
 }
-
-var _ net.Addr
