Judge backend servers by what callers acknowledge, and stop in two steps

Cause: SIGTERM ended the process at once, so packets were lost until routers turned away; servers were ranked by nothing.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -35,7 +35,7 @@
 	store, closeStore := platform.NewStore(s.Store.Endpoint)
 	defer closeStore()
 	logger := slog.New(slog.NewJSONHandler(out, nil))
-	_, closeNode, err := entry.New(entry.Options{
+	node, closeNode, err := entry.New(entry.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Format: platform.Format{}, Store: store, Translate: platform.Translate, MaxFlow: s.Bounds.MaxFlow,
 		Logger: logger, Seed: rand.Uint64(),
@@ -45,5 +45,6 @@
 	}
 	defer closeNode()
 	<-ctx.Done()
+	node.Stop(s.Bounds.Grace)
 	return nil
 }
--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 )
 
@@ -11,26 +10,36 @@
 	// maxFlows bounds the flows that are remembered: 4.4 million open flows over
 	// 490 instances are 9,000 each, and several times as many after a loss.
 	maxFlows = 32768
-	// maxTries is how many backend servers an opening packet and its copies reach.
+	// maxTries is how many backend servers an opening packet and its two copies
+	// can reach.
 	maxTries = 3
+	// openingFor is how long a caller tries to open a flow: it gives up 1.4 s
+	// after its first packet.
+	openingFor = 1500 * time.Millisecond
+	// silentFor is how long a flow without packets counts as open, when
+	// operators state no idle timeout.
+	silentFor = 15 * time.Second
+	// sweepPeriod is how often silent flows are looked for.
+	sweepPeriod = time.Second
 )
 
 // flow is what this instance has seen of a flow.
 type flow struct {
 	key segment.Flow
-	// tries are the backend servers that opening packets went to.
+	// tries are the backend servers that opening packets went to, in order, and
+	// asked is when the last of them was sent, or the last request.
 	tries [maxTries]*server
-	// at is the backend server that the flow is open at.
-	at       *server
-	mark     mark.Mark
-	seen     time.Duration
-	opening  time.Duration
-	sent     uint32
-	answered uint32
-	// waiting says that data was sent and nothing answered since.
+	asked time.Duration
+	// at is the backend server that the flow is open at, nil while it opens.
+	at   *server
+	seen time.Duration
+	// sent and answered are the positions after the last byte that the caller
+	// sent and that it acknowledged.
+	sent, answered uint32
+	// waiting says that a request was sent and nothing answered since.
 	waiting bool
-	asked   time.Duration
-	repeats int
+	// blamed says that this wait was already held against the backend server.
+	blamed bool
 }
 
 func (f *flow) tried(v *server) bool {
@@ -42,22 +51,85 @@
 	return false
 }
 
-// flows are the remembered flows.
+// last returns the backend server that the latest opening packet went to.
+func (f *flow) last() *server {
+	for i := len(f.tries) - 1; i >= 0; i-- {
+		if f.tries[i] != nil {
+			return f.tries[i]
+		}
+	}
+	return nil
+}
+
+// load counts the flow at the backend servers, with sign 1, or takes it back,
+// with sign -1. A flow that opens is about to carry a request.
+func (f *flow) load(sign int) {
+	switch {
+	case f.at != nil:
+		f.at.view.open += sign
+		if f.waiting {
+			f.at.view.running += sign
+		}
+	case f.last() != nil:
+		f.last().view.running += sign
+	}
+}
+
+// flows are the remembered flows. Records are used again, so that a new flow
+// costs no allocation in the long run.
 type flows struct {
 	byKey map[segment.Flow]*flow
+	free  []*flow
+	swept time.Duration
 }
 
 func newFlows() flows { return flows{byKey: make(map[segment.Flow]*flow)} }
 
-// opened returns the record of a flow that is being opened.
-func (t *flows) opened(now time.Duration, s segment.Segment) *flow {
-	f, ok := t.byKey[s.Flow]
+// record returns the record of a flow, and a new one if it has none. It returns
+// nil when too many flows are remembered.
+func (t *flows) record(now time.Duration, key segment.Flow) *flow {
+	f, ok := t.byKey[key]
 	if !ok {
-		f = &flow{key: s.Flow, opening: now}
-		if len(t.byKey) < maxFlows {
-			t.byKey[s.Flow] = f
+		if len(t.byKey) >= maxFlows {
+			return nil
 		}
+		f = t.blank()
+		f.key = key
+		t.byKey[key] = f
 	}
 	f.seen = now
 	return f
 }
+
+func (t *flows) blank() *flow {
+	if n := len(t.free); n > 0 {
+		f := t.free[n-1]
+		t.free = t.free[:n-1]
+		return f
+	}
+	return &flow{}
+}
+
+// forget removes a flow.
+func (t *flows) forget(f *flow) {
+	f.load(-1)
+	delete(t.byKey, f.key)
+	*f = flow{}
+	t.free = append(t.free, f)
+}
+
+// sweep forgets flows that have been silent for too long.
+func (t *flows) sweep(now, idle time.Duration) {
+	if now-t.swept < sweepPeriod {
+		return
+	}
+	t.swept = now
+	if idle <= 0 {
+		idle = silentFor
+	}
+	for _, f := range t.byKey {
+		if now-f.seen > idle || f.at == nil && now-f.seen > openingFor {
+			t.forget(f)
+		}
+	}
+}
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -146,7 +146,7 @@
 	if !ok {
 		return Decision{Verdict: Reset, Reason: NoRoute}
 	}
-	f := c.flows.opened(now, s)
+	f := c.begin(now, s)
 	v := c.place(now, route, f)
 	if v == nil {
 		return Decision{Verdict: Reset, Reason: NoServer}
@@ -192,4 +192,7 @@
 }
 
 // Tick does what time alone brings.
-func (c *Core) Tick(now time.Duration) { c.servers.expire(now, c.options.MaxFlow) }
+func (c *Core) Tick(now time.Duration) {
+	c.servers.expire(now, c.options.MaxFlow)
+	c.flows.sweep(now, c.directory.IdleTimeout())
+}
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -6,23 +6,174 @@
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 )
 
+const (
+	// suspectAfter is how many flows have to go unanswered, with no sign of life
+	// meanwhile, until a backend server is suspected: one lost packet isn't enough.
+	suspectAfter = 2
+	// doubtLoad ranks a backend server that left one flow unanswered behind any
+	// other that isn't overrun, in requests a slot.
+	doubtLoad = 2.0
+	// doubtFor is how long a single unanswered flow counts: a few times the
+	// 200 ms after which callers send again.
+	doubtFor = time.Second
+	// firstTrial is the time until a suspected backend server gets a flow again,
+	// and lastTrial the longest, as each flow that fails doubles it. A flow sent
+	// there in vain loses 200 ms.
+	firstTrial = time.Second
+	lastTrial  = 8 * time.Second
+)
+
 // view is what this instance's flows tell of a backend server.
 type view struct {
+	// open and running are the flows open there and the requests that wait.
 	open    int
 	running int
+	// alive is when a caller last acknowledged something of the server's.
+	alive time.Duration
+	// failures are the flows that it left unanswered since then, and failed when
+	// the last of them was noticed.
+	failures int
+	failed   time.Duration
+	// trial is when a suspected server gets its next flow, backoff the time
+	// between trials.
+	trial, backoff time.Duration
+}
+
+// suspect says whether the server is to get no new flow.
+func (w *view) suspect(now time.Duration) bool {
+	return w.failures >= suspectAfter && now < w.trial
+}
+
+// doubt returns the load that is added for a recent failure.
+func (w *view) doubt(now time.Duration) float64 {
+	if w.failures > 0 && w.failures < suspectAfter && now-w.failed < doubtFor {
+		return doubtLoad
+	}
+	return 0
+}
+
+// answered notes a sign of life.
+func (w *view) answered(now time.Duration) {
+	w.alive, w.failures, w.backoff = now, 0, 0
+}
+
+// unanswered notes a flow that sent something then, and had to send it again.
+func (w *view) unanswered(now, sent time.Duration) {
+	if w.alive >= sent && w.alive > 0 {
+		return
+	}
+	w.failures++
+	w.failed = now
+	if w.failures >= suspectAfter && now >= w.trial {
+		w.backoff = min(max(2*w.backoff, firstTrial), lastTrial)
+		w.trial = now + w.backoff
+	}
 }
 
-func (w *view) suspect(time.Duration) bool { return false }
+// tried notes that a suspected server gets a flow: the next has to wait.
+func (w *view) tried(now time.Duration) {
+	if w.failures >= suspectAfter {
+		w.trial = now + max(w.backoff, firstTrial)
+	}
+}
 
-func (w *view) doubt(time.Duration) float64 { return 0 }
+// begin returns the record of a flow that is being opened. A copy of the opening
+// packet says that the backend server tried before didn't answer.
+func (c *Core) begin(now time.Duration, s segment.Segment) *flow {
+	f := c.flows.record(now, s.Flow)
+	if f == nil {
+		return &flow{key: s.Flow}
+	}
+	if f.at != nil {
+		// The caller uses the port of an earlier flow again.
+		f.load(-1)
+		*f = flow{key: s.Flow, seen: now}
+	}
+	if v := f.last(); v != nil {
+		v.view.unanswered(now, f.asked)
+		f.load(-1)
+	}
+	return f
+}
 
-func (c *Core) placed(_ time.Duration, f *flow, v *server) {
+// placed notes where an opening packet goes.
+func (c *Core) placed(now time.Duration, f *flow, v *server) {
+	v.view.tried(now)
+	f.asked = now
 	for i := range f.tries {
-		if f.tries[i] == nil {
+		if f.tries[i] == nil || i == len(f.tries)-1 {
 			f.tries[i] = v
+			break
+		}
+	}
+	if f.seen > 0 {
+		f.load(1)
+	}
+}
+
+// observe takes a packet of an open flow.
+func (c *Core) observe(now time.Duration, s segment.Segment, v *server) {
+	f := c.flows.byKey[s.Flow]
+	if f == nil && s.Length == 0 {
+		return
+	}
+	if f == nil {
+		if f = c.flows.record(now, s.Flow); f == nil {
 			return
 		}
 	}
+	f.seen = now
+	if f.at != v {
+		c.established(now, s, f, v)
+	}
+	f.acknowledge(now, s)
+	f.send(now, s)
+	if s.Flags&(segment.Finish|segment.Abort) != 0 {
+		c.flows.forget(f)
+	}
+}
+
+// established notes the first packet of a flow after its opening.
+func (c *Core) established(now time.Duration, s segment.Segment, f *flow, v *server) {
+	opened := f.last() != nil
+	f.load(-1)
+	f.at, f.waiting = v, false
+	f.sent, f.answered = s.Sequence, s.Acknowledged
+	f.load(1)
+	if opened {
+		v.view.answered(now)
+	}
 }
 
-func (c *Core) observe(_ time.Duration, s segment.Segment, v *server) {}
+// acknowledge takes what the caller acknowledges.
+func (f *flow) acknowledge(now time.Duration, s segment.Segment) {
+	if !s.Flags.Has(segment.Acknowledge) || int32(s.Acknowledged-f.answered) <= 0 {
+		return
+	}
+	f.answered = s.Acknowledged
+	f.at.view.answered(now)
+	if f.waiting {
+		f.waiting = false
+		f.at.view.running--
+	}
+}
+
+// send takes the data that the caller sends.
+func (f *flow) send(now time.Duration, s segment.Segment) {
+	if s.Length == 0 {
+		return
+	}
+	end := s.Sequence + uint32(s.Length)
+	if int32(end-f.sent) <= 0 {
+		if f.waiting && !f.blamed {
+			f.blamed = true
+			f.at.view.unanswered(now, f.asked)
+		}
+		return
+	}
+	f.sent = end
+	if !f.waiting {
+		f.waiting, f.blamed, f.asked = true, false, now
+		f.at.view.running++
+	}
+}
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
@@ -20,6 +21,8 @@
 	now         func() time.Duration
 	directories chan directory.Directory
 	reset       []byte
+	// last is when the latest packet came, in nanoseconds since the start.
+	last atomic.Int64
 }
 
 func newDecider(o Options, c *forwarding.Core, r *receiver, now func() time.Duration) *decider {
@@ -59,6 +62,7 @@
 
 func (d *decider) decide(b *batch) {
 	now := d.now()
+	d.last.Store(int64(now))
 	headroom := d.options.Format.Headroom()
 	for i := range b.count {
 		d.packet(now, b.buffers[i][:headroom+b.messages[i].N])
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -63,5 +63,7 @@
 		f.options.Logger.Warn("Follower: entry.", "Error", p)
 	}
 	f.decider.adopt(f.directory)
-	f.gate.open.Store(f.directory.Version() > 0)
+	if f.directory.Version() > 0 {
+		f.gate.know()
+	}
 }
--- a/pkg/process/entry/ready.go
+++ b/pkg/process/entry/ready.go
@@ -8,8 +8,15 @@
 	"github.com/go-faster/errors"
 )
 
-// gate says whether routers may send packets here.
-type gate struct{ open atomic.Bool }
+// gate says whether routers may send packets here. Once closed it stays so.
+type gate struct{ known, closed atomic.Bool }
+
+// know opens the gate: the instance can decide for packets.
+func (g *gate) know() { g.known.Store(true) }
+
+func (g *gate) close() { g.closed.Store(true) }
+
+func (g *gate) isOpen() bool { return g.known.Load() && !g.closed.Load() }
 
 type readyServer struct {
 	listener net.Listener
@@ -23,7 +30,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+o.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !g.open.Load() {
+		if !g.isOpen() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- /dev/null
+++ b/pkg/process/entry/stop.go
@@ -0,0 +1,35 @@
+package entry
+
+import "time"
+
+const (
+	// turnAway is how long routers may still send new flows here after the gate
+	// closed: two probes at two a second have to miss, and one may just have
+	// succeeded.
+	turnAway = 1600 * time.Millisecond
+	// quietFor is how long no packet has to come before the instance ends.
+	quietFor = 300 * time.Millisecond
+	// stopReserve is what remains of the grace time when the instance ends even
+	// though packets still come.
+	stopReserve = 1500 * time.Millisecond
+	// stopPoll is how often the instance looks whether it may end.
+	stopPoll = 50 * time.Millisecond
+)
+
+// Stop asks routers to turn away and returns when no more packets come. Flows
+// go on at other instances, to which their marks say all.
+func (i *Instance) Stop(grace time.Duration) {
+	i.gate.close()
+	began := i.now()
+	i.options.Logger.Info("Instance: stopping, packets are still forwarded.", "Grace", grace)
+	poll := time.NewTicker(stopPoll)
+	defer poll.Stop()
+	for range poll.C {
+		spent := i.now() - began
+		quiet := i.now() - time.Duration(i.decider.last.Load())
+		if spent >= turnAway && quiet >= quietFor || spent >= grace-stopReserve {
+			break
+		}
+	}
+	i.options.Logger.Info("Instance: stopped.", "After", i.now()-began)
+}
