--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -37,7 +37,9 @@
 	logger := slog.New(slog.NewJSONHandler(out, nil))
 	node, closeNode, err := entry.New(entry.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath,
-		Format: platform.Format{}, Store: store, Translate: platform.Translate, MaxFlow: s.Bounds.MaxFlow,
+		Peers: s.Peers, Seeds: s.Seeds, Format: platform.Format{}, Store: store,
+		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
+		Translate:   platform.Translate, EncodeInstance: platform.EncodeInstance, MaxFlow: s.Bounds.MaxFlow,
 		Logger: logger, Seed: rand.Uint64(),
 	})
 	if err != nil {
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -114,11 +114,16 @@
 	servers   registry
 	flows     flows
 	draws     uint64
+	// reports are what other instances of the data centre told last, alive how
+	// many of them there are, and scale how many each report stands for.
+	reports map[string]report
+	alive   int
+	scale   float64
 }
 
 // New returns a Core that knows nothing yet.
 func New(o Options) *Core {
-	return &Core{options: o, servers: newRegistry(), flows: newFlows(), draws: o.Seed}
+	return &Core{options: o, servers: newRegistry(), flows: newFlows(), draws: o.Seed, reports: make(map[string]report), scale: 1}
 }
 
 // Decide takes a caller's packet.
@@ -195,4 +200,8 @@
 func (c *Core) Tick(now time.Duration) {
 	c.servers.expire(now, c.options.MaxFlow)
 	c.flows.sweep(now, c.directory.IdleTimeout())
+	for _, v := range c.servers.byMark {
+		v.view.average += averageShare * (float64(v.view.running) - v.view.average)
+	}
+	c.combine(now)
 }
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -28,6 +28,10 @@
 	// open and running are the flows open there and the requests that wait.
 	open    int
 	running int
+	// average is running over the last half second, others what other instances
+	// of the data centre reported.
+	average float64
+	others  others
 	// alive is when a caller last acknowledged something of the server's.
 	alive time.Duration
 	// failures are the flows that it left unanswered since then, and failed when
@@ -41,12 +45,24 @@
 
 // suspect says whether the server is to get no new flow.
 func (w *view) suspect(now time.Duration) bool {
-	return w.failures >= suspectAfter && now < w.trial
+	if w.failures >= suspectAfter {
+		return now < w.trial
+	}
+	return w.combined(now) >= suspectAfter
+}
+
+// combined adds the failures that others noticed lately to the own ones, unless
+// the server answered here since.
+func (w *view) combined(now time.Duration) int {
+	if w.others.failures == 0 || w.alive >= w.others.failed || now-w.others.failed > firstTrial {
+		return w.failures
+	}
+	return w.failures + w.others.failures
 }
 
 // doubt returns the load that is added for a recent failure.
 func (w *view) doubt(now time.Duration) float64 {
-	if w.failures > 0 && w.failures < suspectAfter && now-w.failed < doubtFor {
+	if w.combined(now) > 0 && w.failures < suspectAfter && now-max(w.failed, w.others.failed) < doubtFor {
 		return doubtLoad
 	}
 	return 0
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -37,8 +37,8 @@
 func (c *Core) candidate(now time.Duration, v *server) placement.Candidate {
 	return placement.Candidate{
 		Slots:   v.Slots,
-		Running: float64(v.view.running),
-		Open:    float64(v.view.open),
+		Running: float64(v.view.running) + c.scale*v.view.others.running,
+		Open:    float64(v.view.open) + c.scale*float64(v.view.others.open),
 		Local:   v.DataCentre == c.options.DataCentre,
 		Penalty: v.view.doubt(now),
 	}
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -23,10 +23,24 @@
 	reset       []byte
 	// last is when the latest packet came, in nanoseconds since the start.
 	last atomic.Int64
+	// confirmed is when the directory was known to be the newest, likewise.
+	confirmed atomic.Int64
+	reports   chan peerLoads
+	shared    atomic.Pointer[[]forwarding.Load]
 }
 
+// peerLoads are the loads that another instance reported.
+type peerLoads struct {
+	name  string
+	loads []forwarding.Load
+	alive int
+}
+
+// ringReports is how many reports of other instances wait for the decider.
+const ringReports = 32
+
 func newDecider(o Options, c *forwarding.Core, r *receiver, now func() time.Duration) *decider {
-	return &decider{options: o, core: c, receiver: r, now: now, directories: make(chan directory.Directory, 1)}
+	return &decider{options: o, core: c, receiver: r, now: now, directories: make(chan directory.Directory, 1), reports: make(chan peerLoads, ringReports)}
 }
 
 // adopt hands over a newer directory; one that still waits is replaced.
@@ -38,6 +52,26 @@
 	d.directories <- next
 }
 
+// confirm notes when the directory was known to be the newest.
+func (d *decider) confirm(at time.Duration) { d.confirmed.Store(int64(at)) }
+
+// hear hands over another instance's loads; with a full ring they are dropped,
+// since the next come soon.
+func (d *decider) hear(p peerLoads) {
+	select {
+	case d.reports <- p:
+	default:
+	}
+}
+
+// loads returns what this instance's flows tell, as of the last tick.
+func (d *decider) loads() []forwarding.Load {
+	if l := d.shared.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
+
 // run decides until the context ends.
 func (d *decider) run(ctx context.Context) {
 	ticks := time.NewTicker(tickPeriod)
@@ -55,11 +89,20 @@
 		case next := <-d.directories:
 			d.core.Adopt(d.now(), next)
 		case <-ticks.C:
-			d.core.Tick(d.now())
+			d.tick()
+		case p := <-d.reports:
+			d.core.Hear(d.now(), p.name, p.loads, p.alive)
 		}
 	}
 }
 
+func (d *decider) tick() {
+	now := d.now()
+	d.core.Tick(now)
+	loads := d.core.Loads(now)
+	d.shared.Store(&loads)
+}
+
 func (d *decider) decide(b *batch) {
 	now := d.now()
 	d.last.Store(int64(now))
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -49,6 +49,12 @@
 	ReadAll(ctx context.Context) (replica.Batch, error)
 	// Watch waits for changes after a revision.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (replica.Batch, error)
+	// Grant opens a lease and returns its number and how long it lasts.
+	Grant(ctx context.Context, ttl time.Duration) (lease uint64, lasts time.Duration, err error)
+	// Renew renews a lease.
+	Renew(ctx context.Context, lease uint64) error
+	// Put writes a key that lasts as long as a lease.
+	Put(ctx context.Context, key string, value []byte, lease uint64) error
 	// Reconnect makes the next call open a new connection.
 	Reconnect()
 }
@@ -64,12 +70,20 @@
 	Ready      netip.AddrPort
 	// ReadyPath is the path that the routers ask for at Ready.
 	ReadyPath string
-	Format    Format
-	Store     Store
-	Translate Translate
-	MaxFlow   time.Duration
-	Logger    *slog.Logger
-	Seed      uint64
+	// Peers takes datagrams and streams from other instances, and Seeds are the
+	// same of a few others, which may be gone.
+	Peers  netip.AddrPort
+	Seeds  []netip.AddrPort
+	Format Format
+	Store  Store
+	// HistoryGone says whether a watch failed because all keys have to be read.
+	HistoryGone func(error) bool
+	Translate   Translate
+	// EncodeInstance returns the key and value that register an instance.
+	EncodeInstance func(directory.Instance) (key string, value []byte, err error)
+	MaxFlow        time.Duration
+	Logger         *slog.Logger
+	Seed           uint64
 }
 
 // Instance is a running instance.
@@ -79,6 +93,7 @@
 	decider *decider
 	gate    *gate
 	cancel  context.CancelFunc
+	closers []func()
 	running sync.WaitGroup
 }
 
@@ -86,22 +101,68 @@
 func New(o Options) (*Instance, func(), error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{options: o, began: time.Now(), cancel: cancel, gate: &gate{}}
-	receiver, err := newReceiver(o)
-	if err != nil {
-		cancel()
+	if err := i.open(ctx); err != nil {
+		i.close()
 		return nil, nil, err
 	}
-	ready, err := newReadyServer(o, i.gate)
+	return i, i.close, nil
+}
+
+// open opens the sockets and starts the duties.
+func (i *Instance) open(ctx context.Context) error {
+	o := i.options
+	receiver, err := newReceiver(o)
 	if err != nil {
-		cancel()
-		return nil, nil, errors.Wrap(err, "serve readiness")
+		return err
 	}
+	i.closers = append(i.closers, receiver.close)
 	core := forwarding.New(forwarding.Options{DataCentre: o.DataCentre, Seed: o.Seed, MaxFlow: o.MaxFlow})
 	i.decider = newDecider(o, core, receiver, i.now)
-	follower := newFollower(o, i.decider, i.gate)
-	i.start(receiver.run, ready.run)
-	i.start(func() { i.decider.run(ctx) }, func() { follower.run(ctx) })
-	return i, func() { cancel(); receiver.close(); ready.close(); i.running.Wait() }, nil
+	s := newState(o, i.decider, i.gate, i.now)
+	fetcher := newFetcher(o, s)
+	exchange, err := newExchange(o, s, i.decider, fetcher)
+	if err != nil {
+		return err
+	}
+	i.closers = append(i.closers, exchange.close)
+	follower := newFollower(o, s, exchange.push, i.now)
+	registrar, err := newRegistrar(o, s, i.now)
+	if err != nil {
+		return err
+	}
+	if err := i.serve(s); err != nil {
+		return err
+	}
+	i.start(receiver.run, exchange.run)
+	for _, duty := range []func(context.Context){i.decider.run, follower.run, exchange.loop, fetcher.run, registrar.run} {
+		i.start(func() { duty(ctx) })
+	}
+	return nil
+}
+
+// serve starts what answers routers and other instances.
+func (i *Instance) serve(s *state) error {
+	copies, err := newCopyServer(i.options, s)
+	if err != nil {
+		return err
+	}
+	i.closers = append(i.closers, copies.close)
+	ready, err := newReadyServer(i.options, i.gate)
+	if err != nil {
+		return errors.Wrap(err, "serve readiness")
+	}
+	i.closers = append(i.closers, ready.close)
+	i.start(copies.run, ready.run)
+	return nil
+}
+
+// close ends all duties and returns once they have ended.
+func (i *Instance) close() {
+	i.cancel()
+	for _, closeOne := range i.closers {
+		closeOne()
+	}
+	i.running.Wait()
 }
 
 // now is the time since the instance began, by a clock that never steps.
--- /dev/null
+++ b/pkg/process/entry/exchange.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
+	wire "github.com/tanagerweir/tanagerweir/service/entry"
+)
+
+const (
+	// exchangePeriod is the time between two words to other instances. A copy
+	// counts as stale after 1.25 s, which leaves room for two lost words.
+	exchangePeriod = 250 * time.Millisecond
+	// datagramBytes is the longest datagram to another instance; longer ones may
+	// be cut on the way.
+	datagramBytes = 1400
+	// batchBytes bounds the changes that a datagram carries beside the rest;
+	// longer ones are fetched.
+	batchBytes = 1100
+)
+
+// exchange tells other instances what this one knows, and listens to them.
+type exchange struct {
+	conn    *net.UDPConn
+	state   *state
+	decider *decider
+	fetcher *fetcher
+	log     *slog.Logger
+	name    string
+	centre  string
+	closed  atomic.Bool
+	// told is the revision that other instances were last told of.
+	told atomic.Uint64
+}
+
+func newExchange(o Options, s *state, d *decider, f *fetcher) (*exchange, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Peers))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for instances")
+	}
+	return &exchange{conn: conn, state: s, decider: d, fetcher: f, log: o.Logger, name: o.Name, centre: o.DataCentre}, nil
+}
+
+func (e *exchange) close() {
+	e.closed.Store(true)
+	_ = e.conn.Close() // nothing is left to write
+}
+
+// run takes words of other instances until the socket is closed.
+func (e *exchange) run() {
+	buffer := make([]byte, 1<<16)
+	for {
+		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
+		if e.closed.Load() {
+			return
+		}
+		if err != nil {
+			e.log.Debug("Exchange: a datagram can't be read.", "Error", err)
+			continue
+		}
+		e.take(buffer[:n], from)
+	}
+}
+
+func (e *exchange) take(datagram []byte, from netip.AddrPort) {
+	w, err := wire.Decode(datagram)
+	if err != nil {
+		e.log.Debug("Exchange: a datagram isn't a word of an instance.", "From", from, "Error", err)
+		return
+	}
+	if w.Hello.From.Name == e.name {
+		return
+	}
+	if e.state.hear(w.Hello, w.Batch) {
+		e.fetcher.ask(w.Hello.From.Endpoint)
+	}
+	if w.Hello.From.DataCentre == e.centre && len(w.Loads) > 0 {
+		e.decider.hear(peerLoads{name: w.Hello.From.Name, loads: w.Loads, alive: e.state.alive()})
+	}
+}
+
+// loop tells some instances in each period.
+func (e *exchange) loop(ctx context.Context) {
+	ticks := time.NewTicker(exchangePeriod)
+	defer ticks.Stop()
+	for {
+		e.send(wire.Word{Hello: e.state.hello(), Loads: e.decider.loads()}, e.state.peers())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+	}
+}
+
+// push tells all instances of the data centre what is new since the last time.
+func (e *exchange) push() {
+	h := e.state.hello()
+	b := e.state.since(e.told.Swap(h.Revision))
+	w := wire.Word{Hello: h}
+	if !b.Whole && size(b) <= batchBytes {
+		w.Batch = &b
+	}
+	e.send(w, e.state.near())
+}
+
+// size estimates the bytes of a batch.
+func size(b replica.Batch) int {
+	const frame = 16
+	total := 0
+	for _, c := range b.Changes {
+		total += len(c.Key) + len(c.Value) + frame
+	}
+	return total
+}
+
+func (e *exchange) send(w wire.Word, to []netip.AddrPort) {
+	datagram, err := wire.Encode(w)
+	if err != nil {
+		e.log.Error("Exchange: a word can't be encoded.", "Error", err)
+		return
+	}
+	if len(datagram) > datagramBytes {
+		e.log.Debug("Exchange: a word is long.", "Bytes", len(datagram))
+	}
+	for _, at := range to {
+		if _, err := e.conn.WriteToUDPAddrPort(datagram, at); err != nil && !e.closed.Load() {
+			e.log.Debug("Exchange: a word can't be sent.", "To", at, "Error", err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/process/entry/fetcher.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/klauspost/compress/gzip"
+
+	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
+	wire "github.com/tanagerweir/tanagerweir/service/entry"
+)
+
+const (
+	// changesPath is where an instance serves its copy to others.
+	changesPath = "/changes"
+	// fetchDeadline bounds one fetch: a copy of 100 KB packs to 10 KB, which a
+	// link of 10 Mbit/s carries to twenty instances in 0.2 s.
+	fetchDeadline = time.Second
+	// fetchBytes bounds what a fetch may bring, unpacked.
+	fetchBytes = 16 << 20
+)
+
+// fetcher brings the copy up to that of another instance.
+type fetcher struct {
+	state  *state
+	log    *slog.Logger
+	client *http.Client
+	asked  chan netip.AddrPort
+}
+
+func newFetcher(o Options, s *state) *fetcher {
+	// Other instances come and go, so no connection is kept.
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	return &fetcher{state: s, log: o.Logger, client: &http.Client{Transport: t}, asked: make(chan netip.AddrPort, 1)}
+}
+
+// ask wants changes from an instance, unless some are being fetched already.
+func (f *fetcher) ask(from netip.AddrPort) {
+	select {
+	case f.asked <- from:
+	default:
+	}
+}
+
+// run fetches until the context ends.
+func (f *fetcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case from := <-f.asked:
+			f.bring(ctx, from)
+		}
+	}
+}
+
+func (f *fetcher) bring(ctx context.Context, from netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, fetchDeadline)
+	defer cancel()
+	b, err := f.fetch(ctx, from, f.state.revision())
+	if err != nil {
+		f.log.Info("Exchange: changes can't be fetched.", "From", from, "Error", err)
+		return
+	}
+	if !f.state.take(b, from.String()) {
+		f.log.Info("Exchange: fetched changes don't join on.", "From", from, "After", b.After, "Revision", f.state.revision())
+	}
+}
+
+func (f *fetcher) fetch(ctx context.Context, from netip.AddrPort, after uint64) (_ replica.Batch, err error) {
+	url := fmt.Sprintf("http://%s%s?after=%d", from, changesPath, after)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return replica.Batch{}, errors.Wrap(err, "build request")
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return replica.Batch{}, errors.Wrap(err, "ask instance")
+	}
+	defer func() {
+		if closing := response.Body.Close(); err == nil && closing != nil {
+			err = errors.Wrap(closing, "close answer")
+		}
+	}()
+	if response.StatusCode != http.StatusOK {
+		return replica.Batch{}, errors.Errorf("instance answered with status %d", response.StatusCode)
+	}
+	unpacked, err := gzip.NewReader(response.Body)
+	if err != nil {
+		return replica.Batch{}, errors.Wrap(err, "unpack answer")
+	}
+	body, err := io.ReadAll(io.LimitReader(unpacked, fetchBytes))
+	if err != nil {
+		return replica.Batch{}, errors.Wrap(err, "read answer")
+	}
+	return wire.DecodeBatch(body)
+}
+
+// copyServer serves the instance's copy to others.
+type copyServer struct {
+	listener net.Listener
+	server   *http.Server
+	log      *slog.Logger
+}
+
+func newCopyServer(o Options, s *state) (*copyServer, error) {
+	listener, err := net.Listen("tcp4", o.Peers.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for instances' fetches")
+	}
+	c := &copyServer{listener: listener, log: o.Logger}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+changesPath, func(w http.ResponseWriter, r *http.Request) { c.serve(w, r, s) })
+	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: fetchDeadline, WriteTimeout: fetchDeadline}
+	return c, nil
+}
+
+func (c *copyServer) serve(w http.ResponseWriter, r *http.Request, s *state) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a revision", http.StatusBadRequest)
+		return
+	}
+	body, err := wire.EncodeBatch(s.since(after))
+	if err != nil {
+		c.log.Error("Exchange: the copy can't be encoded.", "Error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// Stateless compression holds no memory between fetches.
+	packed, err := gzip.NewWriterLevel(w, gzip.StatelessCompression)
+	if err != nil {
+		c.log.Error("Exchange: the copy can't be packed.", "Error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if _, err := packed.Write(body); err != nil {
+		c.log.Info("Exchange: a fetch broke off.", "Error", err)
+		return
+	}
+	if err := packed.Close(); err != nil {
+		c.log.Info("Exchange: a fetch broke off.", "Error", err)
+	}
+}
+
+// run serves until the server is closed.
+func (c *copyServer) run() {
+	if err := c.server.Serve(c.listener); !errors.Is(err, http.ErrServerClosed) {
+		c.log.Error("Exchange: serving the copy ended.", "Error", err)
+	}
+}
+
+func (c *copyServer) close() { _ = c.server.Close() }
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -2,68 +2,131 @@
 
 import (
 	"context"
+	"log/slog"
+	"math/rand/v2"
 	"time"
 
-	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 )
 
 const (
-	watchWait    = 700 * time.Millisecond
-	callDeadline = 1100 * time.Millisecond
-	retryPause   = 100 * time.Millisecond
+	// watchWait is how long the store holds a watch without changes. Each answer
+	// confirms the copy, and instances follow themselves after 1.25 s without.
+	watchWait = 700 * time.Millisecond
+	// callSlack is the time that an answer may take beyond that: the store
+	// answers in 4 ms, and a few hundred when it is slow.
+	callSlack = 500 * time.Millisecond
+	// gatherFor is the pause after changes, so that a burst of them costs fewer
+	// calls. Rules leave 3 s for a change to take effect.
+	gatherFor = 120 * time.Millisecond
+	// idlePoll is how often an instance that doesn't follow looks whether it has
+	// to.
+	idlePoll = 100 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a failed call, which
+	// doubles; each is drawn between half and all of it, so that instances don't
+	// call in step. The last is half the time that rules leave for a change.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 1500 * time.Millisecond
 )
 
-// follower brings the platform's changes in.
+// follower brings the platform's changes in while the instance follows.
 type follower struct {
-	options   Options
-	decider   *decider
-	gate      *gate
-	replica   *replica.Replica
-	directory directory.Directory
+	store   Store
+	state   *state
+	push    func()
+	gone    func(error) bool
+	log     *slog.Logger
+	now     func() time.Duration
+	random  *rand.Rand
+	failed  int
+	whole   bool
+	started time.Duration
 }
 
-func newFollower(o Options, d *decider, g *gate) *follower {
-	return &follower{options: o, decider: d, gate: g, replica: replica.New(), directory: directory.New()}
+func newFollower(o Options, s *state, push func(), now func() time.Duration) *follower {
+	return &follower{
+		store: o.Store, state: s, push: push, gone: o.HistoryGone, log: o.Logger, now: now,
+		random: rand.New(rand.NewPCG(o.Seed, uint64(len(o.Name)))), whole: true,
+	}
 }
 
+// run follows until the context ends.
 func (f *follower) run(ctx context.Context) {
-	whole := true
 	for ctx.Err() == nil {
-		b, err := f.call(ctx, whole)
-		if err != nil {
-			f.options.Logger.Warn("Follower: store.", "Error", err)
-			f.options.Store.Reconnect()
-			whole = true
-			time.Sleep(retryPause)
+		if f.state.revision() > 0 && !f.state.follows() {
+			f.failed, f.whole = 0, false
+			pause(ctx, idlePoll)
 			continue
 		}
-		whole = false
-		f.take(b)
+		if err := f.call(ctx); err != nil && ctx.Err() == nil {
+			f.recover(err)
+			pause(ctx, f.backoff())
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
-func (f *follower) call(ctx context.Context, whole bool) (replica.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, callDeadline)
+// call makes one call and takes its answer.
+func (f *follower) call(ctx context.Context) error {
+	began := f.now()
+	b, err := f.ask(ctx)
+	if err != nil {
+		return err
+	}
+	if f.failed > 0 {
+		f.log.Info("Follower: the store answers again.", "Failed", f.failed, "Revision", b.Revision)
+	}
+	f.failed, f.whole = 0, false
+	before := f.state.revision()
+	if !f.state.take(b, "the store") {
+		f.whole = true
+		return nil
+	}
+	if !b.Whole && len(b.Changes) == 0 {
+		// The store answered when the wait was over, not when it began.
+		began = min(began+watchWait, f.now())
+	}
+	f.state.confirm(began)
+	if b.Revision > before {
+		f.push()
+		pause(ctx, gatherFor)
+	}
+	return nil
+}
+
+func (f *follower) ask(ctx context.Context) (replica.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callSlack)
 	defer cancel()
-	if whole {
-		return f.options.Store.ReadAll(ctx)
+	if f.whole || f.state.revision() == 0 {
+		return f.store.ReadAll(ctx)
 	}
-	return f.options.Store.Watch(ctx, f.replica.Revision(), watchWait)
+	return f.store.Watch(ctx, f.state.revision(), watchWait)
 }
 
-func (f *follower) take(b replica.Batch) {
-	changes, _ := f.replica.Apply(b)
-	if len(changes) == 0 {
+// recover prepares the next call after a failed one.
+func (f *follower) recover(err error) {
+	if f.gone(err) {
+		f.whole = true
+		f.log.Info("Follower: the store dropped its history, all keys are read.", "Revision", f.state.revision())
 		return
 	}
-	var problems []error
-	f.directory, problems = f.options.Translate(f.directory, changes)
-	for _, p := range problems {
-		f.options.Logger.Warn("Follower: entry.", "Error", p)
-	}
-	f.decider.adopt(f.directory)
-	if f.directory.Version() > 0 {
-		f.gate.know()
+	f.failed++
+	f.log.Warn("Follower: the store can't be read.", "Error", err, "Failed", f.failed, "Revision", f.state.revision())
+	f.store.Reconnect()
+}
+
+func (f *follower) backoff() time.Duration {
+	if f.failed == 0 {
+		return 0
 	}
+	longest := min(firstBackoff<<min(f.failed-1, 10), lastBackoff)
+	return longest/2 + time.Duration(f.random.Int64N(int64(longest/2)))
 }
--- /dev/null
+++ b/pkg/process/membership/membership.go
@@ -0,0 +1,226 @@
+// Package membership keeps one instance's view of the others, and decides which
+// of them read the platform's store for all.
+//
+// In each data centre one instance follows the store and tells the others. Any
+// instance whose copy hasn't been confirmed for a while begins to follow, and of
+// two that follow in one data centre and hear each other the one with the higher
+// rank stops. So a copy stays fresh wherever anyone reaches the store, and no
+// agreement is needed: two followers at once only cost calls.
+//
+// # Usage
+//
+//	core := membership.New(self, seeds, seed)
+//	core.Know(now, registered)
+//	core.Hear(now, hello, current)
+//	core.Confirm(now)
+//	if core.Follows(now) {
+//		watch()
+//	}
+//	for _, to := range core.Peers() {
+//		send(to, hello)
+//	}
+//
+// A Core does no I/O and is not safe for use from several goroutines.
+package membership
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// StaleAfter is how long a copy may go unconfirmed until its holder follows
+	// the store itself: a follower confirms every 0.7 s and tells it in 0.25 s.
+	StaleAfter = 1250 * time.Millisecond
+	// staleSpread parts the instances that find their copies stale at once.
+	staleSpread = 400 * time.Millisecond
+	// yieldAge is the oldest confirmation for which a follower makes way.
+	yieldAge = 1100 * time.Millisecond
+	// heardFor is how long an instance counts as alive after its last word.
+	heardFor = 5 * time.Second
+	// fanOut is how many instances of the own data centre hear of loads in one
+	// period; with entries of some 300 bytes, four a period stay below 3 KB/s.
+	fanOut = 4
+	// awayEvery is one in how many periods a word goes to another data centre.
+	awayEvery = 2
+)
+
+// Member is one instance.
+type Member struct {
+	Name       string
+	DataCentre string
+	// Endpoint takes datagrams and streams from other instances.
+	Endpoint netip.AddrPort
+}
+
+// Hello is what an instance says of itself.
+type Hello struct {
+	From     Member
+	Revision uint64
+	// ConfirmedAge is how long ago its copy was known to be the newest.
+	ConfirmedAge time.Duration
+	// Following says that it reads the store itself.
+	Following bool
+	Leaving   bool
+}
+
+type peer struct {
+	member Member
+	heard  time.Duration
+	// present says that it was heard and didn't say that it leaves.
+	present bool
+}
+
+// Core is one instance's view. See New.
+type Core struct {
+	self      Member
+	rank      uint64
+	peers     map[string]*peer
+	seeds     []netip.AddrPort
+	random    *rand.Rand
+	confirmed time.Duration
+	patience  time.Duration
+	following bool
+	periods   int
+}
+
+// New returns the view of an instance that knows only some endpoints, which may
+// be gone.
+func New(self Member, seeds []netip.AddrPort, seed uint64) *Core {
+	r := rand.New(rand.NewPCG(seed, seed))
+	seeds = slices.DeleteFunc(slices.Clone(seeds), func(s netip.AddrPort) bool { return s == self.Endpoint })
+	return &Core{
+		self: self, rank: rankOf(self.Name), peers: make(map[string]*peer), seeds: seeds, random: r,
+		patience: StaleAfter + time.Duration(r.Int64N(int64(staleSpread))),
+	}
+}
+
+func rankOf(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Know takes the instances that are registered. Others are forgotten once they
+// are silent.
+func (c *Core) Know(now time.Duration, registered []Member) {
+	named := make(map[string]bool, len(registered))
+	for _, m := range registered {
+		named[m.Name] = true
+		if m.Name != c.self.Name {
+			c.learn(m)
+		}
+	}
+	for name, p := range c.peers {
+		if !named[name] && now-p.heard > heardFor {
+			delete(c.peers, name)
+		}
+	}
+}
+
+func (c *Core) learn(m Member) *peer {
+	p, ok := c.peers[m.Name]
+	if !ok {
+		p = &peer{}
+		c.peers[m.Name] = p
+	}
+	p.member = m
+	return p
+}
+
+// Hear takes another instance's word. Current says that the own copy is at the
+// sender's revision or a later one.
+func (c *Core) Hear(now time.Duration, h Hello, current bool) {
+	if h.From.Name == c.self.Name {
+		return
+	}
+	p := c.learn(h.From)
+	p.heard, p.present = now, !h.Leaving
+	if current {
+		c.confirmed = max(c.confirmed, now-h.ConfirmedAge)
+	}
+	near := h.From.DataCentre == c.self.DataCentre
+	if c.following && near && h.Following && !h.Leaving && h.ConfirmedAge <= yieldAge && rankOf(h.From.Name) < c.rank {
+		c.following = false
+	}
+}
+
+// Confirm notes that the instance's copy was the newest at that time.
+func (c *Core) Confirm(at time.Duration) { c.confirmed = max(c.confirmed, at) }
+
+// ConfirmedAge returns how long ago the copy was known to be the newest.
+func (c *Core) ConfirmedAge(now time.Duration) time.Duration { return now - c.confirmed }
+
+// Follows says whether the instance is to follow the store.
+func (c *Core) Follows(now time.Duration) bool {
+	if !c.following && c.ConfirmedAge(now) > c.patience {
+		c.following = true
+	}
+	return c.following
+}
+
+// Hello returns what the instance says of itself, but for its revision and
+// whether it leaves.
+func (c *Core) Hello(now time.Duration) Hello {
+	return Hello{From: c.self, ConfirmedAge: c.ConfirmedAge(now), Following: c.following}
+}
+
+// Following says what Follows said last.
+func (c *Core) Following() bool { return c.following }
+
+// Near returns the endpoints of all instances of the own data centre that may be
+// alive.
+func (c *Core) Near() []netip.AddrPort {
+	return c.endpoints(func(p *peer) bool { return p.member.DataCentre == c.self.DataCentre })
+}
+
+// Alive returns how many other instances of the own data centre were heard
+// lately.
+func (c *Core) Alive(now time.Duration) int {
+	alive := 0
+	for _, p := range c.peers {
+		if p.member.DataCentre == c.self.DataCentre && p.present && now-p.heard <= heardFor {
+			alive++
+		}
+	}
+	return alive
+}
+
+// Peers returns whom to tell in this period: all of the own data centre while
+// the instance follows, else some of it, and now and then one elsewhere. Until
+// an instance knows others it asks the seeds.
+func (c *Core) Peers() []netip.AddrPort {
+	c.periods++
+	if len(c.peers) == 0 {
+		return c.seeds
+	}
+	near := c.Near()
+	if !c.following && len(near) > fanOut {
+		c.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+		near = near[:fanOut]
+	}
+	if c.periods%awayEvery != 0 {
+		return near
+	}
+	away := c.endpoints(func(p *peer) bool { return p.member.DataCentre != c.self.DataCentre })
+	if len(away) > 0 {
+		near = append(near, away[c.random.IntN(len(away))])
+	}
+	return near
+}
+
+func (c *Core) endpoints(wanted func(*peer) bool) []netip.AddrPort {
+	var members []Member
+	for _, p := range c.peers {
+		if wanted(p) {
+			members = append(members, p.member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	at := make([]netip.AddrPort, len(members))
+	for i, m := range members {
+		at[i] = m.Endpoint
+	}
+	return at
+}
--- a/pkg/version/directory/directory.go
+++ b/pkg/version/directory/directory.go
@@ -92,6 +92,14 @@
 	Revision uint64
 }
 
+// Instance is one instance of ours as it registered itself. It may have ended.
+type Instance struct {
+	Name       string
+	DataCentre string
+	// Endpoint takes datagrams and streams from other instances.
+	Endpoint netip.AddrPort
+}
+
 // Directory is everything at one revision of the platform. The zero value is
 // not usable; see New.
 type Directory struct {
@@ -100,12 +108,16 @@
 	services  map[string]Service
 	servers   []Server
 	evacuated map[string]bool
+	instances map[string]Instance
 	idle      time.Duration
 }
 
 // New returns an empty directory, at version 0.
 func New() Directory {
-	return Directory{routes: map[netip.AddrPort]Route{}, services: map[string]Service{}, evacuated: map[string]bool{}}
+	return Directory{
+		routes: map[netip.AddrPort]Route{}, services: map[string]Service{},
+		evacuated: map[string]bool{}, instances: map[string]Instance{},
+	}
 }
 
 // Version returns the version of the operators' configuration, 0 for none.
@@ -201,3 +213,32 @@
 	}
 	return d
 }
+
+// Instances returns the registered instances, ordered by name.
+func (d Directory) Instances() []Instance {
+	all := make([]Instance, 0, len(d.instances))
+	for _, name := range slices.Sorted(maps.Keys(d.instances)) {
+		all = append(all, d.instances[name])
+	}
+	return all
+}
+
+// Instance returns a registered instance by its name.
+func (d Directory) Instance(name string) (Instance, bool) {
+	i, ok := d.instances[name]
+	return i, ok
+}
+
+// WithInstance returns d with an instance registered.
+func (d Directory) WithInstance(i Instance) Directory {
+	d.instances = maps.Clone(d.instances)
+	d.instances[i.Name] = i
+	return d
+}
+
+// WithoutInstance returns d without an instance.
+func (d Directory) WithoutInstance(name string) Directory {
+	d.instances = maps.Clone(d.instances)
+	delete(d.instances, name)
+	return d
+}
