Hold packets until the configuration is known

Cause: an instance dropped what came in the 20 ms before it had read the store; callers send again after 200 ms or more.

--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -12,7 +12,7 @@
 	suspectAfter = 2
 	// doubtLoad ranks a backend server that left one flow unanswered behind any
 	// other that isn't overrun, in requests a slot.
-	doubtLoad = 2.0
+	doubtLoad = 3
 	// doubtFor is how long a single unanswered flow counts: a few times the
 	// 200 ms after which callers send again.
 	doubtFor = time.Second
--- a/pkg/connection/placement/placement.go
+++ b/pkg/connection/placement/placement.go
@@ -21,9 +21,11 @@
 	// flow of one request a second of 40 ms.
 	openLoad = 0.04
 	// remoteLoad is the load a slot by which a local server has to be busier
-	// than one in another data centre before a flow goes there. At one request
-	// a slot the next one waits, which costs more than the longer way.
-	remoteLoad = 0.9
+	// than one in another data centre before a flow goes there. Two requests a
+	// slot let the next one wait for about two service times, which callers'
+	// targets allow, while a flow that goes elsewhere breaks with any cut
+	// between the data centres.
+	remoteLoad = 2
 	// drawLoad spreads flows over servers that are about equally loaded.
 	drawLoad = 0.02
 )
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -88,6 +88,9 @@
 			d.receiver.free <- b
 		case next := <-d.directories:
 			d.core.Adopt(d.now(), next)
+			if next.Version() > 0 {
+				d.receiver.start()
+			}
 		case <-ticks.C:
 			d.tick()
 		case p := <-d.reports:
--- a/pkg/process/entry/receiver.go
+++ b/pkg/process/entry/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -42,6 +43,9 @@
 	full   chan *batch
 	free   chan *batch
 	closed atomic.Bool
+	// begin is closed when packets may be read.
+	begin chan struct{}
+	once  sync.Once
 }
 
 func newReceiver(o Options) (*receiver, error) {
@@ -55,6 +59,7 @@
 	r := &receiver{
 		conn: conn, reader: ipv4.NewPacketConn(conn),
 		full: make(chan *batch, ringBatches), free: make(chan *batch, ringBatches),
+		begin: make(chan struct{}),
 	}
 	for range ringBatches {
 		r.free <- newBatch(o.Format.Headroom(), o.Format.MaxPacket())
@@ -62,10 +67,16 @@
 	return r, nil
 }
 
+// start lets packets be read. What came before waits in the socket's buffer: a
+// caller sends again only after 200 ms, longer than the instance takes to learn
+// the configuration.
+func (r *receiver) start() { r.once.Do(func() { close(r.begin) }) }
+
 // run reads packets until the socket is closed. It waits for a free batch, so a
 // burst stays in the socket's buffer, which drops what it can't hold.
 func (r *receiver) run() {
 	defer close(r.full)
+	<-r.begin
 	for b := range r.free {
 		count, err := r.reader.ReadBatch(b.messages, 0)
 		if r.closed.Load() {
@@ -81,5 +92,6 @@
 
 func (r *receiver) close() {
 	r.closed.Store(true)
+	r.start()
 	_ = r.conn.Close() // nothing is left to write
 }
