--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
@@ -17,8 +19,10 @@
 
 func entryCommand(out io.Writer) *cli.Command {
 	return &cli.Command{
-		Name:      "entry",
-		Usage:     "run one instance on the users' platform, with the settings file that " + platform.SettingsVariable + " names",
+		Name:  "entry",
+		Usage: "run one instance on the users' platform",
+		Description: "Reads the settings file that the environment variable " + platform.SettingsVariable +
+			" names. SIGTERM stops as planned, SIGHUP reads the settings file again.",
 		UsageText: "tanagerweir entry",
 		Action:    func(ctx context.Context, c *cli.Command) error { return enter(ctx, c, out) },
 	}
@@ -28,25 +32,56 @@
 	if c.Args().Present() {
 		return errors.Wrapf(tree.ErrMisused, "entry takes no argument %q", c.Args().First())
 	}
-	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	// Before anything else: without a handler the signal would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	file := os.Getenv(platform.SettingsVariable)
+	s, err := platform.LoadSettings(file)
 	if err != nil {
 		return err
 	}
 	store, closeStore := platform.NewStore(s.Store.Endpoint)
 	defer closeStore()
 	logger := slog.New(slog.NewJSONHandler(out, nil))
-	node, closeNode, err := entry.New(entry.Options{
-		Name: s.Name, DataCentre: s.DataCentre, Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath,
-		Peers: s.Peers, Seeds: s.Seeds, Format: platform.Format{}, Store: store,
-		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
-		Translate:   platform.Translate, EncodeInstance: platform.EncodeInstance, MaxFlow: s.Bounds.MaxFlow,
-		Logger: logger, Seed: rand.Uint64(),
-	})
+	node, closeNode, err := entry.New(entryOptions(s, store, logger))
 	if err != nil {
 		return err
 	}
 	defer closeNode()
-	<-ctx.Done()
-	node.Stop(s.Bounds.Grace)
-	return nil
+	for {
+		select {
+		case <-hangups:
+			s = reload(file, s, node, logger)
+		case <-ctx.Done():
+			node.Stop(s.Bounds.Grace)
+			return nil
+		}
+	}
+}
+
+func entryOptions(s platform.Settings, store *platform.Store, logger *slog.Logger) entry.Options {
+	return entry.Options{
+		Name: s.Name, DataCentre: s.DataCentre,
+		Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath, Peers: s.Peers, Seeds: s.Seeds,
+		Format: platform.Format{}, Store: store, Translate: platform.Translate, EncodeInstance: platform.EncodeInstance,
+		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
+		MaxFlow:     s.Bounds.MaxFlow, Logger: logger, Seed: rand.Uint64(),
+	}
+}
+
+// reload reads the settings again. What the sockets are bound to stays as it is
+// until the next start; a file that is wrong changes nothing.
+func reload(file string, before platform.Settings, node *entry.Instance, logger *slog.Logger) platform.Settings {
+	after, err := platform.LoadSettings(file)
+	if err != nil {
+		logger.Error("Settings: the file can't be used, nothing changes.", "Error", err)
+		return before
+	}
+	if after.Packets != before.Packets || after.Ready != before.Ready || after.Peers != before.Peers || after.Store != before.Store {
+		logger.Warn("Settings: other endpoints take effect at the next start.")
+	}
+	node.Adjust(after.Seeds, after.Bounds.MaxFlow)
+	logger.Info("Settings: read again.", "Seeds", after.Seeds, "MaxFlow", after.Bounds.MaxFlow, "Grace", after.Bounds.Grace)
+	return after
 }
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -102,9 +102,6 @@
 	DataCentre string
 	// Seed decides between equally good backend servers.
 	Seed uint64
-	// MaxFlow is how long a flow may last; that long a backend server that left
-	// stays known by its mark.
-	MaxFlow time.Duration
 }
 
 // Core decides for the packets that one instance gets.
@@ -196,9 +193,10 @@
 	return xxhash.Sum64(b[:])
 }
 
-// Tick does what time alone brings.
-func (c *Core) Tick(now time.Duration) {
-	c.servers.expire(now, c.options.MaxFlow)
+// Tick does what time alone brings. A backend server that left stays known by
+// its mark for as long as a flow may last.
+func (c *Core) Tick(now, maxFlow time.Duration) {
+	c.servers.expire(now, maxFlow)
 	c.flows.sweep(now, c.directory.IdleTimeout())
 	for _, v := range c.servers.byMark {
 		v.view.average += averageShare * (float64(v.view.running) - v.view.average)
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -25,8 +25,10 @@
 	last atomic.Int64
 	// confirmed is when the directory was known to be the newest, likewise.
 	confirmed atomic.Int64
-	reports   chan peerLoads
-	shared    atomic.Pointer[[]forwarding.Load]
+	// maxFlow is how long a flow may last, in nanoseconds.
+	maxFlow atomic.Int64
+	reports chan peerLoads
+	shared  atomic.Pointer[[]forwarding.Load]
 }
 
 // peerLoads are the loads that another instance reported.
@@ -40,7 +42,9 @@
 const ringReports = 32
 
 func newDecider(o Options, c *forwarding.Core, r *receiver, now func() time.Duration) *decider {
-	return &decider{options: o, core: c, receiver: r, now: now, directories: make(chan directory.Directory, 1), reports: make(chan peerLoads, ringReports)}
+	d := &decider{options: o, core: c, receiver: r, now: now, directories: make(chan directory.Directory, 1), reports: make(chan peerLoads, ringReports)}
+	d.maxFlow.Store(int64(o.MaxFlow))
+	return d
 }
 
 // adopt hands over a newer directory; one that still waits is replaced.
@@ -101,7 +105,7 @@
 
 func (d *decider) tick() {
 	now := d.now()
-	d.core.Tick(now)
+	d.core.Tick(now, time.Duration(d.maxFlow.Load()))
 	loads := d.core.Loads(now)
 	d.shared.Store(&loads)
 }
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -91,6 +91,7 @@
 	options Options
 	began   time.Time
 	decider *decider
+	state   *state
 	gate    *gate
 	cancel  context.CancelFunc
 	closers []func()
@@ -116,9 +117,10 @@
 		return err
 	}
 	i.closers = append(i.closers, receiver.close)
-	core := forwarding.New(forwarding.Options{DataCentre: o.DataCentre, Seed: o.Seed, MaxFlow: o.MaxFlow})
+	core := forwarding.New(forwarding.Options{DataCentre: o.DataCentre, Seed: o.Seed})
 	i.decider = newDecider(o, core, receiver, i.now)
-	s := newState(o, i.decider, i.gate, i.now)
+	i.state = newState(o, i.decider, i.gate, i.now)
+	s := i.state
 	fetcher := newFetcher(o, s)
 	exchange, err := newExchange(o, s, i.decider, fetcher)
 	if err != nil {
@@ -156,6 +158,12 @@
 	return nil
 }
 
+// Adjust takes settings that may change while the instance runs.
+func (i *Instance) Adjust(seeds []netip.AddrPort, maxFlow time.Duration) {
+	i.state.seed(seeds)
+	i.decider.maxFlow.Store(int64(maxFlow))
+}
+
 // close ends all duties and returns once they have ended.
 func (i *Instance) close() {
 	i.cancel()
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -148,6 +148,13 @@
 	return s.members.Peers()
 }
 
+// seed replaces the endpoints that are asked while no instance is known.
+func (s *state) seed(seeds []netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members.Seed(seeds)
+}
+
 // near returns the other instances of the data centre.
 func (s *state) near() []netip.AddrPort {
 	s.mu.Lock()
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -93,11 +93,17 @@
 // be gone.
 func New(self Member, seeds []netip.AddrPort, seed uint64) *Core {
 	r := rand.New(rand.NewPCG(seed, seed))
-	seeds = slices.DeleteFunc(slices.Clone(seeds), func(s netip.AddrPort) bool { return s == self.Endpoint })
-	return &Core{
-		self: self, rank: rankOf(self.Name), peers: make(map[string]*peer), seeds: seeds, random: r,
+	c := &Core{
+		self: self, rank: rankOf(self.Name), peers: make(map[string]*peer), random: r,
 		patience: StaleAfter + time.Duration(r.Int64N(int64(staleSpread))),
 	}
+	c.Seed(seeds)
+	return c
+}
+
+// Seed replaces the endpoints that are asked while no instance is known.
+func (c *Core) Seed(seeds []netip.AddrPort) {
+	c.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s netip.AddrPort) bool { return s == c.self.Endpoint })
 }
 
 func rankOf(name string) uint64 { return xxhash.Sum64String(name) }
