Give up repeatable flows at backend servers that answer nobody

Ruled out: waiting for the entry to lapse, which takes 3.6 s, longer than callers wait. Evidence asked for: three flows unanswered, two of them open, no sign of life at any instance of the data centre for 0.7 s, others answering.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -66,7 +66,7 @@
 		Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath, Peers: s.Peers, Seeds: s.Seeds,
 		Format: platform.Format{}, Store: store, Translate: platform.Translate, EncodeInstance: platform.EncodeInstance,
 		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
-		MaxFlow:     s.Bounds.MaxFlow, Logger: logger, Seed: rand.Uint64(),
+		MaxFlow:     s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
 	}
 }
 
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -60,6 +60,8 @@
 	UnknownMark
 	// ServerGone: the named backend server has surely ended.
 	ServerGone
+	// ServerSilent: the named backend server answers nobody.
+	ServerSilent
 	// NoRoute: no route has this address.
 	NoRoute
 	// NoServer: no backend server can take a new flow of the route.
@@ -69,7 +71,7 @@
 )
 
 var reasonNames = [...]string{
-	"ByMark", "Placed", "PlacedAgain", "NoMark", "UnknownMark", "ServerGone", "NoRoute", "NoServer", "Unsynchronised",
+	"ByMark", "Placed", "PlacedAgain", "NoMark", "UnknownMark", "ServerGone", "ServerSilent", "NoRoute", "NoServer", "Unsynchronised",
 }
 
 // Reasons returns all reasons.
@@ -98,8 +100,13 @@
 
 // Options are what a Core is told at its start.
 type Options struct {
-	// DataCentre is the instance's own.
+	// Name and DataCentre are the instance's own.
+	Name       string
 	DataCentre string
+	// ColdFactor and ColdSlack bound the requests of a cold backend server in a
+	// second: its rate times ColdFactor, plus ColdSlack, from all instances.
+	ColdFactor float64
+	ColdSlack  float64
 	// Seed decides between equally good backend servers.
 	Seed uint64
 }
@@ -116,6 +123,11 @@
 	reports map[string]report
 	alive   int
 	scale   float64
+	// confirmed is when the directory was known to be the newest, and returned
+	// when that was so again after an outage of the platform.
+	confirmed, returned time.Duration
+	// answered is when a caller last acknowledged something new.
+	answered time.Duration
 }
 
 // New returns a Core that knows nothing yet.
@@ -123,6 +135,35 @@
 	return &Core{options: o, servers: newRegistry(), flows: newFlows(), draws: o.Seed, reports: make(map[string]report), scale: 1}
 }
 
+const (
+	// freshFor is how old the last confirmation of the directory may be for what
+	// it lacks to count: followers confirm it each 0.7 s.
+	freshFor = 1500 * time.Millisecond
+	// outageAfter is the age of the last confirmation from which on the platform
+	// counts as having been away.
+	outageAfter = 2500 * time.Millisecond
+	// lapsedFor is how long after an outage entries of living backend servers
+	// may be missing.
+	lapsedFor = 2 * time.Second
+	// goneAfter is how long an entry has to be missing until flows at its
+	// backend server are given up: longer than any entry lapses by an outage.
+	goneAfter = 2500 * time.Millisecond
+)
+
+// Confirm notes when the directory was known to be the newest.
+func (c *Core) Confirm(now, at time.Duration) {
+	if at <= c.confirmed {
+		return
+	}
+	if c.confirmed > 0 && at-c.confirmed > outageAfter {
+		c.returned = now
+	}
+	c.confirmed = at
+}
+
+// fresh says whether what the directory lacks is surely not there.
+func (c *Core) fresh(now time.Duration) bool { return now-c.confirmed <= freshFor }
+
 // Decide takes a caller's packet.
 func (c *Core) Decide(now time.Duration, s segment.Segment) Decision {
 	if s.Flags.Has(segment.Open) {
@@ -136,15 +177,43 @@
 		return Decision{Verdict: Drop, Reason: UnknownMark}
 	}
 	c.observe(now, s, v)
+	if reason, lost := c.lost(now, s, v); lost {
+		if f := c.flows.byKey[s.Flow]; f != nil {
+			c.flows.forget(f)
+		}
+		return Decision{Verdict: Reset, Reason: reason, Server: v.ID}
+	}
 	return v.forward(ByMark)
 }
 
+// lost says whether a flow is to be given up since its backend server has ended.
+// Only callers that may send a request again gain by that.
+func (c *Core) lost(now time.Duration, s segment.Segment, v *server) (Reason, bool) {
+	if s.Length == 0 {
+		return ByMark, false
+	}
+	if r, ok := c.directory.Route(s.Flow.Route); !ok || r.Kind != directory.Repeatable {
+		return ByMark, false
+	}
+	switch {
+	case v.missing && now-v.gone >= goneAfter && v.view.alive < v.gone && c.fresh(now):
+		return ServerGone, true
+	case v.view.dead(now, c.answered, c.alive):
+		return ServerSilent, true
+	}
+	return ByMark, false
+}
+
 // open decides for a packet that asks for a new flow.
 func (c *Core) open(now time.Duration, s segment.Segment) Decision {
 	if c.directory.Version() == 0 {
 		return Decision{Verdict: Drop, Reason: Unsynchronised}
 	}
 	route, ok := c.directory.Route(s.Flow.Route)
+	if !ok && !c.fresh(now) {
+		// A newer configuration may have the route; copies of the packet follow.
+		return Decision{Verdict: Drop, Reason: NoRoute}
+	}
 	if !ok {
 		return Decision{Verdict: Reset, Reason: NoRoute}
 	}
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -30,6 +30,10 @@
 	// life, FailedAge how long ago the latest was noticed.
 	Failures  int
 	FailedAge time.Duration
+	// Stuck is how many of these flows were open and had their data unanswered.
+	Stuck int
+	// AliveAge is how long ago the last sign of life was seen.
+	AliveAge time.Duration
 }
 
 // report is another instance's loads.
@@ -47,7 +51,10 @@
 		if w.open == 0 && w.running == 0 && w.failures == 0 && w.average < 1.0/64 {
 			continue
 		}
-		loads = append(loads, Load{Mark: m, Open: max(w.open, 0), Running: w.average, Failures: w.failures, FailedAge: now - w.failed})
+		loads = append(loads, Load{
+			Mark: m, Open: w.open, Running: w.average,
+			Failures: w.failures, FailedAge: now - w.failed, Stuck: w.stuck, AliveAge: now - w.alive,
+		})
 	}
 	if len(loads) > maxLoads {
 		slices.SortStableFunc(loads, func(a, b Load) int { return b.Failures + b.Open - a.Failures - a.Open })
@@ -94,13 +101,17 @@
 	running  float64
 	failures int
 	failed   time.Duration
+	stuck    int
+	alive    time.Duration
 }
 
 func (o *others) add(l Load, at time.Duration) {
 	o.open += l.Open
 	o.running += l.Running
+	o.alive = max(o.alive, at-l.AliveAge)
 	if l.Failures > 0 {
 		o.failures += l.Failures
+		o.stuck += l.Stuck
 		o.failed = max(o.failed, at-l.FailedAge)
 	}
 }
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -21,6 +21,23 @@
 	// there in vain loses 200 ms.
 	firstTrial = time.Second
 	lastTrial  = 8 * time.Second
+	// deadFailures is how many flows have to go unanswered until flows at the
+	// backend server are given up, and deadStuck how many of them had been open:
+	// a server that is merely full leaves no data of open flows unanswered.
+	deadFailures = 3
+	deadStuck    = 2
+	// deadAfter is how long no instance of the data centre may have seen a sign
+	// of life by then. A request waits for some 0.4 s at the longest where all
+	// slots and queues are taken by cold servers' work.
+	deadAfter = 700 * time.Millisecond
+	// reportDelay is how much later a sign of life may be reported for each
+	// other instance: each tells four others in a quarter of a second.
+	reportDelay = 65 * time.Millisecond
+	// deadFor is how long the verdict holds without further failures.
+	deadFor = 2 * time.Second
+	// answersAge is how old the last answer of any other server may be: without
+	// any, the instance or its callers may be cut off instead.
+	answersAge = 300 * time.Millisecond
 )
 
 // view is what this instance's flows tell of a backend server.
@@ -38,6 +55,8 @@
 	// the last of them was noticed.
 	failures int
 	failed   time.Duration
+	// stuck are those among them that had been open.
+	stuck int
 	// trial is when a suspected server gets its next flow, backoff the time
 	// between trials.
 	trial, backoff time.Duration
@@ -70,13 +89,26 @@
 
 // answered notes a sign of life.
 func (w *view) answered(now time.Duration) {
-	w.alive, w.failures, w.backoff = now, 0, 0
+	w.alive, w.failures, w.stuck, w.backoff = now, 0, 0, 0
 }
 
-// unanswered notes a flow that sent something then, and had to send it again.
-func (w *view) unanswered(now, sent time.Duration) {
+// dead says whether the server has surely ended or can't be reached from the
+// data centre, so that flows at it are lost. Lately is when the instance last
+// saw an answer of any server, alive how many other instances report here.
+func (w *view) dead(now, lately time.Duration, alive int) bool {
+	if w.stuck == 0 || w.failures+w.others.failures < deadFailures || w.stuck+w.others.stuck < deadStuck {
+		return false
+	}
+	silent := now - max(w.alive, w.others.alive)
+	latest := now - max(w.failed, w.others.failed)
+	return silent >= deadAfter+time.Duration(alive)*reportDelay && latest <= deadFor && now-lately <= answersAge
+}
+
+// unanswered notes a flow that sent something then, and had to send it again. It
+// returns false if the server answered others since, so that a packet was lost.
+func (w *view) unanswered(now, sent time.Duration) bool {
 	if w.alive >= sent && w.alive > 0 {
-		return
+		return false
 	}
 	w.failures++
 	w.failed = now
@@ -84,6 +116,7 @@
 		w.backoff = min(max(2*w.backoff, firstTrial), lastTrial)
 		w.trial = now + w.backoff
 	}
+	return true
 }
 
 // tried notes that a suspected server gets a flow: the next has to wait.
@@ -115,6 +148,9 @@
 // placed notes where an opening packet goes.
 func (c *Core) placed(now time.Duration, f *flow, v *server) {
 	v.view.tried(now)
+	if now < v.coldUntil {
+		v.coldSent = now
+	}
 	f.asked = now
 	for i := range f.tries {
 		if f.tries[i] == nil || i == len(f.tries)-1 {
@@ -142,7 +178,9 @@
 	if f.at != v {
 		c.established(now, s, f, v)
 	}
-	f.acknowledge(now, s)
+	if f.acknowledge(now, s) {
+		c.answered = now
+	}
 	f.send(now, s)
 	if s.Flags&(segment.Finish|segment.Abort) != 0 {
 		c.flows.forget(f)
@@ -156,15 +194,23 @@
 	f.at, f.waiting = v, false
 	f.sent, f.answered = s.Sequence, s.Acknowledged
 	f.load(1)
-	if opened {
-		v.view.answered(now)
+	if !opened {
+		return
 	}
+	if v.view.failures >= suspectAfter {
+		// It may have started again, and the platform may not tell that yet.
+		if service, ok := c.directory.Service(v.Service); ok {
+			v.coldUntil = max(v.coldUntil, now+service.ColdFor)
+		}
+	}
+	v.view.answered(now)
+	c.answered = now
 }
 
-// acknowledge takes what the caller acknowledges.
-func (f *flow) acknowledge(now time.Duration, s segment.Segment) {
+// acknowledge takes what the caller acknowledges, and says whether that is new.
+func (f *flow) acknowledge(now time.Duration, s segment.Segment) bool {
 	if !s.Flags.Has(segment.Acknowledge) || int32(s.Acknowledged-f.answered) <= 0 {
-		return
+		return false
 	}
 	f.answered = s.Acknowledged
 	f.at.view.answered(now)
@@ -172,6 +218,7 @@
 		f.waiting = false
 		f.at.view.running--
 	}
+	return true
 }
 
 // send takes the data that the caller sends.
@@ -183,7 +230,9 @@
 	if int32(end-f.sent) <= 0 {
 		if f.waiting && !f.blamed {
 			f.blamed = true
-			f.at.view.unanswered(now, f.asked)
+			if f.at.view.unanswered(now, f.asked) {
+				f.at.view.stuck++
+			}
 		}
 		return
 	}
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -14,9 +14,12 @@
 	// gone is when the directory lost it, while missing.
 	gone    time.Duration
 	missing bool
-	// coldUntil is when it has warmed up.
-	coldUntil time.Duration
-	view      view
+	// lapsed is until when the entry may be missing because of an outage.
+	lapsed time.Duration
+	// coldUntil is when it has warmed up, and coldSent when this instance last
+	// sent a new flow there before that.
+	coldUntil, coldSent time.Duration
+	view                view
 }
 
 // registry holds the backend servers that marks can name.
@@ -31,6 +34,7 @@
 
 // Adopt takes a newer directory.
 func (c *Core) Adopt(now time.Duration, d directory.Directory) {
+	c.chill(now, d)
 	present := make(map[mark.Mark]bool, len(d.Servers()))
 	for _, described := range d.Servers() {
 		m := mark.Of(described.ID)
@@ -39,13 +43,29 @@
 	}
 	for m, v := range c.servers.byMark {
 		if !present[m] && !v.missing {
-			v.missing, v.gone = true, now
+			v.missing, v.gone, v.lapsed = true, now, now
+			if !v.Draining && c.returned > 0 {
+				v.lapsed = max(now, c.returned+lapsedFor)
+			}
 		}
 	}
 	c.directory = d
 	c.servers.index()
 }
 
+// chill takes the backend servers of data centres that are brought back for cold
+// until they say otherwise: they may have been started again meanwhile.
+func (c *Core) chill(now time.Duration, next directory.Directory) {
+	for _, v := range c.servers.byMark {
+		if !c.directory.Evacuated(v.DataCentre) || next.Evacuated(v.DataCentre) {
+			continue
+		}
+		if service, ok := next.Service(v.Service); ok {
+			v.coldUntil = max(v.coldUntil, now+service.ColdFor)
+		}
+	}
+}
+
 func (r *registry) describe(now time.Duration, m mark.Mark, d directory.Server) {
 	v, known := r.byMark[m]
 	if !known {
@@ -69,7 +89,7 @@
 func (r *registry) index() {
 	clear(r.byService)
 	for _, v := range r.byMark {
-		if !v.missing {
+		if !v.missing || v.lapsed > v.gone {
 			r.byService[v.Service] = append(r.byService[v.Service], v)
 		}
 	}
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -91,6 +91,7 @@
 			d.decide(b)
 			d.receiver.free <- b
 		case next := <-d.directories:
+			d.core.Confirm(d.now(), time.Duration(d.confirmed.Load()))
 			d.core.Adopt(d.now(), next)
 			if next.Version() > 0 {
 				d.receiver.start()
@@ -113,6 +114,7 @@
 func (d *decider) decide(b *batch) {
 	now := d.now()
 	d.last.Store(int64(now))
+	d.core.Confirm(now, time.Duration(d.confirmed.Load()))
 	headroom := d.options.Format.Headroom()
 	for i := range b.count {
 		d.packet(now, b.buffers[i][:headroom+b.messages[i].N])
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -82,8 +82,10 @@
 	// EncodeInstance returns the key and value that register an instance.
 	EncodeInstance func(directory.Instance) (key string, value []byte, err error)
 	MaxFlow        time.Duration
-	Logger         *slog.Logger
-	Seed           uint64
+	// ColdFactor and ColdSlack are those of forwarding.Options.
+	ColdFactor, ColdSlack float64
+	Logger                *slog.Logger
+	Seed                  uint64
 }
 
 // Instance is a running instance.
@@ -117,7 +119,9 @@
 		return err
 	}
 	i.closers = append(i.closers, receiver.close)
-	core := forwarding.New(forwarding.Options{DataCentre: o.DataCentre, Seed: o.Seed})
+	core := forwarding.New(forwarding.Options{
+		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
+	})
 	i.decider = newDecider(o, core, receiver, i.now)
 	i.state = newState(o, i.decider, i.gate, i.now)
 	s := i.state
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -40,6 +40,7 @@
 		m.Loads = append(m.Loads, &Load{
 			Mark: uint32(l.Mark), Open: uint32(l.Open), RunningHundredths: uint32(math.Round(l.Running * hundredths)),
 			Failures: uint32(l.Failures), FailedAgeMilliseconds: age(l.FailedAge),
+			Stuck: uint32(l.Stuck), AliveAgeMilliseconds: age(l.AliveAge),
 		})
 	}
 	if w.Batch != nil {
@@ -73,6 +74,7 @@
 		w.Loads = append(w.Loads, forwarding.Load{
 			Mark: mark.Mark(l.GetMark()), Open: int(l.GetOpen()), Running: float64(l.GetRunningHundredths()) / hundredths,
 			Failures: int(l.GetFailures()), FailedAge: duration(l.GetFailedAgeMilliseconds()),
+			Stuck: int(l.GetStuck()), AliveAge: duration(l.GetAliveAgeMilliseconds()),
 		})
 	}
 	if m.GetBatch() != nil {
