--- /dev/null
+++ b/pkg/connection/forwarding/observe_test.go
@@ -0,0 +1,268 @@
+package forwarding_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+)
+
+const (
+	firstCopy   = 200 * time.Millisecond
+	secondCopy  = 600 * time.Millisecond
+	serviceTime = 50 * time.Millisecond
+)
+
+func TestCopiesOfAnOpeningPacketGoToOtherServers(t *testing.T) {
+	c := newCore(deployment())
+	p := newCaller(feedRoute)
+	seen := make(map[string]bool)
+	for i, at := range []time.Duration{0, firstCopy, secondCopy} {
+		d := c.Decide(at, p.open(i))
+		if seen[d.Server] {
+			t.Errorf("copy %d went to %q again", i, d.Server)
+		}
+		seen[d.Server] = true
+	}
+}
+
+func TestServerThatLeavesTwoFlowsUnansweredGetsNoMore(t *testing.T) {
+	c := newCore(deployment())
+	dark := leaveUnanswered(t, c)
+	for range 60 {
+		if _, d := opened(t, c, firstCopy+time.Millisecond, feedRoute); d.Server == dark {
+			t.Fatal("a suspected server got a flow")
+		}
+	}
+}
+
+// leaveUnanswered opens flows and sends copies for two of one server, and answers
+// all others. It returns the server.
+func leaveUnanswered(t *testing.T, c *forwarding.Core) string {
+	t.Helper()
+	dark := ""
+	for left := 0; left < 2; {
+		p, d := opened(t, c, time.Millisecond, feedRoute)
+		if dark == "" {
+			dark = d.Server
+		}
+		if d.Server != dark {
+			c.Decide(2*time.Millisecond, p.request())
+			continue
+		}
+		left++
+		c.Decide(firstCopy, p.open(1))
+	}
+	return dark
+}
+
+func TestOneLostPacketIsNoSuspicion(t *testing.T) {
+	c := newCore(deployment())
+	p, d := opened(t, c, time.Millisecond, feedRoute)
+	other, otherPlaced := opened(t, c, time.Millisecond, feedRoute)
+	for otherPlaced.Server != d.Server {
+		other, otherPlaced = opened(t, c, time.Millisecond, feedRoute)
+	}
+	c.Decide(100*time.Millisecond, other.request())
+	c.Decide(firstCopy, p.open(1))
+	for range 100 {
+		if _, again := opened(t, c, firstCopy, feedRoute); again.Server == d.Server {
+			return
+		}
+	}
+	t.Errorf("server %q answered another caller since and gets nothing", d.Server)
+}
+
+func TestSuspectedServerIsTriedAgainWithOneFlow(t *testing.T) {
+	c := newCore(deployment())
+	dark := leaveUnanswered(t, c)
+	tries := 0
+	for range 30 {
+		if _, d := opened(t, c, 1500*time.Millisecond, feedRoute); d.Server == dark {
+			tries++
+		}
+	}
+	if tries != 1 {
+		t.Errorf("%d flows tried the suspected server at once", tries)
+	}
+}
+
+func TestServiceWithSuspectsOnlyIsStillServed(t *testing.T) {
+	c := newCore(configured().WithServer(serverOf(feedService, near, 1)))
+	leaveUnanswered(t, c)
+	if _, d := opened(t, c, firstCopy, feedRoute); d.Verdict != forwarding.Forward {
+		t.Errorf("%+v", d)
+	}
+}
+
+func TestServerThatAnswersAfterSuspicionIsTakenForCold(t *testing.T) {
+	c := newCore(deployment())
+	dark := leaveUnanswered(t, c)
+	now := 1500 * time.Millisecond
+	var p *caller
+	for placed := ""; placed != dark; {
+		var d forwarding.Decision
+		p, d = opened(t, c, now, feedRoute)
+		placed = d.Server
+	}
+	c.Decide(now+time.Millisecond, p.request())
+	for range 60 {
+		if _, d := opened(t, c, now+time.Second, feedRoute); d.Server == dark {
+			t.Fatal("a server that may just have started got a flow")
+		}
+	}
+}
+
+// stuck opens flows at a server that never answers their requests, while another
+// server goes on answering, and returns the callers and the server.
+func stuck(t *testing.T, c *forwarding.Core, flows int) (callers []*caller, dark string) {
+	t.Helper()
+	for len(callers) < flows {
+		p, d := opened(t, c, time.Millisecond, feedRoute)
+		if dark == "" {
+			dark = d.Server
+		}
+		c.Decide(2*time.Millisecond, p.request())
+		if d.Server != dark {
+			continue
+		}
+		c.Decide(2*time.Millisecond+serviceTime, p.acknowledge())
+		callers = append(callers, p)
+	}
+	return callers, dark
+}
+
+// askInVain lets callers send a request and send it again.
+func askInVain(c *forwarding.Core, callers []*caller) {
+	const at = 100 * time.Millisecond
+	for _, p := range callers {
+		s := p.request()
+		c.Decide(at, s)
+		c.Decide(at+firstCopy, s)
+	}
+}
+
+// keepAnswering has another caller served by another server at that time.
+func keepAnswering(t *testing.T, c *forwarding.Core, dark string, at time.Duration) {
+	t.Helper()
+	for range 20 {
+		p, d := opened(t, c, at-time.Millisecond, feedRoute)
+		if d.Server != dark {
+			c.Decide(at, p.request())
+			return
+		}
+	}
+	t.Fatal("no other server gets flows")
+}
+
+func TestFlowsAtADarkServerAreGivenUp(t *testing.T) {
+	c := newCore(deployment())
+	callers, dark := stuck(t, c, 3)
+	askInVain(c, callers)
+	now := time.Second
+	keepAnswering(t, c, dark, now)
+	if d := c.Decide(now, callers[0].request()); d.Verdict != forwarding.Reset || d.Reason != forwarding.ServerSilent {
+		t.Errorf("%+v", d)
+	}
+}
+
+func TestFlowsAreKeptWhileTheEvidenceIsThin(t *testing.T) {
+	cases := map[string]func(c *forwarding.Core) (time.Duration, []*caller){
+		"two flows only": func(c *forwarding.Core) (time.Duration, []*caller) {
+			callers, dark := stuck(t, c, 2)
+			askInVain(c, callers)
+			keepAnswering(t, c, dark, time.Second)
+			return time.Second, callers
+		},
+		"not for long": func(c *forwarding.Core) (time.Duration, []*caller) {
+			callers, dark := stuck(t, c, 3)
+			askInVain(c, callers)
+			keepAnswering(t, c, dark, 500*time.Millisecond)
+			return 500 * time.Millisecond, callers
+		},
+		"no server answers": func(c *forwarding.Core) (time.Duration, []*caller) {
+			callers, _ := stuck(t, c, 3)
+			askInVain(c, callers)
+			return time.Second, callers
+		},
+		"another instance sees it alive": func(c *forwarding.Core) (time.Duration, []*caller) {
+			callers, dark := stuck(t, c, 3)
+			askInVain(c, callers)
+			keepAnswering(t, c, dark, time.Second)
+			c.Hear(time.Second, "other", []forwarding.Load{{Mark: callers[0].markNumber(), AliveAge: 100 * time.Millisecond}}, 1)
+			return time.Second, callers
+		},
+	}
+	for name, play := range cases {
+		c := newCore(deployment())
+		now, callers := play(c)
+		if d := c.Decide(now, callers[0].request()); d.Verdict != forwarding.Forward {
+			t.Errorf("%s: %+v", name, d)
+		}
+	}
+}
+
+func TestRequestsThatMayNotBeRepeatedAreLeftToTheServer(t *testing.T) {
+	c := newCore(deployment())
+	callers, dark := stuck(t, c, 3)
+	askInVain(c, callers)
+	keepAnswering(t, c, dark, time.Second)
+	p := newCaller(signoffRoute)
+	p.mark = callers[0].mark
+	if d := c.Decide(time.Second, p.request()); d.Verdict != forwarding.Forward {
+		t.Errorf("%+v", d)
+	}
+}
+
+func TestLoadsOfOtherInstancesMoveNewFlows(t *testing.T) {
+	c := newCore(deployment())
+	_, busy := opened(t, c, time.Millisecond, feedRoute)
+	c.Hear(2*time.Millisecond, "other", []forwarding.Load{{Mark: busy.Mark, Open: 60, Running: 3}}, 1)
+	for range 6 {
+		if _, d := opened(t, c, 3*time.Millisecond, feedRoute); d.Server == busy.Server {
+			t.Fatal("a server that others keep busy got a flow")
+		}
+	}
+}
+
+func TestReportsOfInstancesThatFellSilentNoLongerCount(t *testing.T) {
+	c := newCore(deployment())
+	_, busy := opened(t, c, time.Millisecond, feedRoute)
+	c.Hear(2*time.Millisecond, "other", []forwarding.Load{{Mark: busy.Mark, Open: 600, Running: 30}}, 1)
+	c.Tick(5*time.Second, maxFlow)
+	for range 40 {
+		if _, d := opened(t, c, 5*time.Second, feedRoute); d.Server == busy.Server {
+			return
+		}
+	}
+	t.Error("a server is still shunned for an old report")
+}
+
+func TestFinishedAndSilentFlowsNoLongerCountAsLoad(t *testing.T) {
+	c := newCore(deployment())
+	p, _ := opened(t, c, time.Millisecond, feedRoute)
+	c.Decide(2*time.Millisecond, p.request())
+	q, _ := opened(t, c, time.Millisecond, feedRoute)
+	c.Decide(2*time.Millisecond, q.request())
+	opened(t, c, time.Millisecond, feedRoute)
+	c.Decide(60*time.Millisecond, p.acknowledge())
+	c.Decide(61*time.Millisecond, p.finish())
+	c.Tick(time.Minute, maxFlow)
+	for _, l := range c.Loads(time.Minute) {
+		if l.Open != 0 {
+			t.Errorf("mark %x has %d flows open", l.Mark, l.Open)
+		}
+	}
+}
+
+func BenchmarkDecideKnownMark(b *testing.B) {
+	c := newCore(deployment())
+	p := newCaller(feedRoute)
+	d := c.Decide(0, p.open(0))
+	p.mark = uint32(d.Mark)
+	s := p.acknowledge()
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Decide(time.Second, s)
+	}
+}
--- /dev/null
+++ b/pkg/process/entry/entry_test.go
@@ -0,0 +1,292 @@
+package entry_test
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
+	"github.com/tanagerweir/tanagerweir/pkg/process/entry"
+	"github.com/tanagerweir/tanagerweir/platform"
+	"github.com/tanagerweir/tanagerweir/platform/standin"
+)
+
+// patience is how long a test waits for what has to happen; nothing is expected
+// to take it.
+const patience = 20 * time.Second
+
+const configuration = `{"configVersion":%d,"routes":[{"name":"feed","host":"198.18.0.1","prefix":"/443/","routeKind":"safe","service":"board"}],
+	"services":[{"name":"board","coldS":2,"coldPerS":4}],"limits":{"idleTimeoutMs":15000}}`
+
+// synPacket opens a flow from 127.0.0.1 at that port to 198.18.0.1:443.
+func synPacket(t *testing.T, port uint16) []byte {
+	t.Helper()
+	b, err := hex.DecodeString("0000a1b2c3d57f000001c61200019c4101bb11223344000000000000000001")
+	if err != nil {
+		t.Fatal(err)
+	}
+	binary.BigEndian.PutUint16(b[14:], port)
+	return b
+}
+
+// backend is a socket in a backend server's place.
+type backend struct {
+	id   string
+	conn *net.UDPConn
+}
+
+func newBackend(t *testing.T, id string) *backend {
+	t.Helper()
+	return &backend{id: id, conn: socket(t)}
+}
+
+func socket(t *testing.T) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func endpointOf(conn *net.UDPConn) netip.AddrPort {
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func (b *backend) describe(state string) []byte {
+	return []byte(fmt.Sprintf(`{"service":"board","address":%q,"zone":"near","slots":3,"state":%q,"coldLeftMs":0}`, endpointOf(b.conn), state))
+}
+
+// receive returns the next datagram.
+func receive(t *testing.T, conn *net.UDPConn) []byte {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 2048)
+	n, err := conn.Read(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return buffer[:n]
+}
+
+// freeEndpoint returns an endpoint that is free for both kinds of socket.
+func freeEndpoint(t *testing.T) netip.AddrPort {
+	t.Helper()
+	conn := socket(t)
+	defer func() { _ = conn.Close() }()
+	return endpointOf(conn)
+}
+
+func options(t *testing.T, name string, store *platform.Store, seeds ...netip.AddrPort) entry.Options {
+	t.Helper()
+	return entry.Options{
+		Name: name, DataCentre: "near", Packets: freeEndpoint(t), Ready: freeEndpoint(t), ReadyPath: "/ready",
+		Peers: freeEndpoint(t), Seeds: seeds, Format: platform.Format{}, Store: store,
+		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
+		Translate:   platform.Translate, EncodeInstance: platform.EncodeInstance,
+		MaxFlow: time.Minute, ColdFactor: 1.5, ColdSlack: 5, Seed: 1,
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+}
+
+func start(t *testing.T, o entry.Options) *entry.Instance {
+	t.Helper()
+	node, closeNode, err := entry.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(closeNode)
+	return node
+}
+
+func stores(t *testing.T) (*standin.Store, *platform.Store) {
+	t.Helper()
+	stand, closeStand := standin.New()
+	store, closeStore := platform.NewStore(stand.Endpoint())
+	t.Cleanup(func() { closeStore(); closeStand() })
+	return stand, store
+}
+
+func send(t *testing.T, to netip.AddrPort, packet []byte) {
+	t.Helper()
+	if _, err := socket(t).WriteToUDPAddrPort(packet, to); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// until calls check over and over until it holds.
+func until(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	timeout := time.After(patience)
+	ticks := time.NewTicker(5 * time.Millisecond)
+	defer ticks.Stop()
+	for !check() {
+		select {
+		case <-timeout:
+			t.Fatalf("%s: not within %v", what, patience)
+		case <-ticks.C:
+		}
+	}
+}
+
+func ready(t *testing.T, o entry.Options) int {
+	t.Helper()
+	response, err := http.Get("http://" + o.Ready.String() + o.ReadyPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func TestPacketsThatComeBeforeTheConfigurationAreForwarded(t *testing.T) {
+	stand, store := stores(t)
+	stand.Fail(standin.Fault{Status: http.StatusServiceUnavailable})
+	o := options(t, "entry-1", store)
+	start(t, o)
+	send(t, o.Packets, synPacket(t, 40001))
+	if got := ready(t, o); got != http.StatusServiceUnavailable {
+		t.Errorf("without configuration: status %d", got)
+	}
+	v := newBackend(t, "i-7f3a91c2")
+	stand.Put("servers/"+v.id, v.describe("ready"))
+	stand.Put("op/config", []byte(fmt.Sprintf(configuration, 1)))
+	stand.Fail(standin.Fault{})
+	got := receive(t, v.conn)
+	want := append([]byte{0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2}, synPacket(t, 40001)...)
+	binary.BigEndian.PutUint32(want[8+26:], uint32(mark.Of(v.id)))
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	until(t, "ready", func() bool { return ready(t, o) == http.StatusOK })
+}
+
+func TestCallersWithoutRouteAreReset(t *testing.T) {
+	stand, store := stores(t)
+	stand.Put("op/config", []byte(`{"configVersion":1}`))
+	o := options(t, "entry-1", store)
+	// Callers receive at the port at which instances receive from them.
+	o.Packets = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), o.Packets.Port())
+	caller, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(o.Packets.Port())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	start(t, o)
+	if _, err := caller.WriteToUDPAddrPort(synPacket(t, 40001), o.Packets); err != nil {
+		t.Fatal(err)
+	}
+	reset, err := platform.ParsePacket(receive(t, caller))
+	if err != nil || reset.Flow.Route.Port() != 40001 {
+		t.Errorf("reset %+v, error %v", reset, err)
+	}
+}
+
+func TestInstanceHearsFromAnotherWhatTheStoreRefusesIt(t *testing.T) {
+	stand, store := stores(t)
+	v := newBackend(t, "i-1")
+	stand.Put("servers/"+v.id, v.describe("ready"))
+	stand.Put("op/config", []byte(fmt.Sprintf(configuration, 1)))
+	first := options(t, "entry-1", store)
+	start(t, first)
+	until(t, "first ready", func() bool { return ready(t, first) == http.StatusOK })
+
+	refusing, refused := stores(t)
+	refusing.Fail(standin.Fault{Status: http.StatusTooManyRequests})
+	second := options(t, "entry-2", refused, first.Peers)
+	start(t, second)
+	until(t, "second ready", func() bool { return ready(t, second) == http.StatusOK })
+	send(t, second.Packets, synPacket(t, 40002))
+	receive(t, v.conn)
+
+	next := newBackend(t, "i-2")
+	stand.Put("servers/"+next.id, next.describe("ready"))
+	stand.Put("servers/"+v.id, v.describe("draining"))
+	arrived := make(chan struct{})
+	go func() {
+		defer close(arrived)
+		receive(t, next.conn)
+	}()
+	port := uint16(41000)
+	until(t, "flows at the new server", func() bool {
+		port++
+		send(t, second.Packets, synPacket(t, port))
+		select {
+		case <-arrived:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+func TestDroppedHistoryIsReadAnew(t *testing.T) {
+	stand, store := stores(t)
+	stand.Put("op/config", []byte(fmt.Sprintf(configuration, 1)))
+	o := options(t, "entry-1", store)
+	start(t, o)
+	until(t, "ready", func() bool { return ready(t, o) == http.StatusOK })
+	v := newBackend(t, "i-1")
+	stand.Fail(standin.Fault{Status: http.StatusServiceUnavailable})
+	stand.Put("servers/"+v.id, v.describe("ready"))
+	stand.Compact()
+	stand.Fail(standin.Fault{})
+	arrived := make(chan struct{})
+	go func() {
+		defer close(arrived)
+		receive(t, v.conn)
+	}()
+	port := uint16(42000)
+	until(t, "flows at the new server", func() bool {
+		port++
+		send(t, o.Packets, synPacket(t, port))
+		select {
+		case <-arrived:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+func TestInstanceRegistersAndDoesSoAgainAfterALostLease(t *testing.T) {
+	stand, store := stores(t)
+	stand.Put("op/config", []byte(fmt.Sprintf(configuration, 1)))
+	start(t, options(t, "entry-1", store))
+	registered := func() bool { return cmp.Equal(stand.Keys(), []string{"instances/entry-1", "op/config"}) }
+	until(t, "registered", registered)
+	stand.Revoke()
+	until(t, "registered again", registered)
+}
+
+func TestPlannedStopTurnsRoutersAwayAndGoesOnForwarding(t *testing.T) {
+	stand, store := stores(t)
+	v := newBackend(t, "i-1")
+	stand.Put("servers/"+v.id, v.describe("ready"))
+	stand.Put("op/config", []byte(fmt.Sprintf(configuration, 1)))
+	o := options(t, "entry-1", store)
+	node := start(t, o)
+	until(t, "ready", func() bool { return ready(t, o) == http.StatusOK })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		node.Stop(6 * time.Second)
+	}()
+	until(t, "turned away", func() bool { return ready(t, o) == http.StatusServiceUnavailable })
+	send(t, o.Packets, synPacket(t, 40003))
+	receive(t, v.conn)
+	<-stopped
+}
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -31,16 +31,17 @@
 
 // follower brings the platform's changes in while the instance follows.
 type follower struct {
-	store   Store
-	state   *state
-	push    func()
-	gone    func(error) bool
-	log     *slog.Logger
-	now     func() time.Duration
-	random  *rand.Rand
-	failed  int
-	whole   bool
-	started time.Duration
+	store  Store
+	state  *state
+	push   func()
+	gone   func(error) bool
+	log    *slog.Logger
+	now    func() time.Duration
+	random *rand.Rand
+	// failed counts the calls that failed in a row.
+	failed int
+	// whole says that all keys have to be read.
+	whole bool
 }
 
 func newFollower(o Options, s *state, push func(), now func() time.Duration) *follower {
--- /dev/null
+++ b/pkg/process/membership/membership_test.go
@@ -0,0 +1,177 @@
+package membership_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
+)
+
+// fleet is instances that hear each other, driven by a clock of its own.
+type fleet struct {
+	now   time.Duration
+	cores []*membership.Core
+	names []membership.Member
+	// cut says whether one instance can't hear another.
+	cut func(from, to int) bool
+	// store says whether an instance reaches the store.
+	store func(i int) bool
+	calls int
+}
+
+const period = 250 * time.Millisecond
+
+func newFleet(centres, each int) *fleet {
+	f := &fleet{cut: func(int, int) bool { return false }, store: func(int) bool { return true }}
+	for c := range centres {
+		for i := range each {
+			f.names = append(f.names, membership.Member{
+				Name: fmt.Sprintf("entry-%d-%d", c, i), DataCentre: fmt.Sprintf("centre-%d", c),
+				Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(c), 0, byte(i)}), 7720),
+			})
+		}
+	}
+	for i, m := range f.names {
+		core := membership.New(m, nil, uint64(i))
+		core.Know(0, f.names)
+		core.Confirm(0)
+		f.cores = append(f.cores, core)
+	}
+	return f
+}
+
+func (f *fleet) index(at netip.AddrPort) int {
+	for i, m := range f.names {
+		if m.Endpoint == at {
+			return i
+		}
+	}
+	return -1
+}
+
+// run lets time pass: followers confirm from the store, and all tell their peers.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += period {
+		for i, core := range f.cores {
+			if core.Follows(f.now) {
+				f.calls++
+				if f.store(i) {
+					core.Confirm(f.now)
+				}
+			}
+			h := core.Hello(f.now)
+			h.Revision = 1
+			for _, at := range core.Peers() {
+				if to := f.index(at); to >= 0 && !f.cut(i, to) {
+					f.cores[to].Hear(f.now, h, true)
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) followers() int {
+	n := 0
+	for _, core := range f.cores {
+		if core.Following() {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) oldest() time.Duration {
+	var oldest time.Duration
+	for _, core := range f.cores {
+		oldest = max(oldest, core.ConfirmedAge(f.now))
+	}
+	return oldest
+}
+
+func TestOneInstanceADataCentreFollowsInAnyFleet(t *testing.T) {
+	for _, size := range [][2]int{{1, 1}, {3, 3}, {5, 17}, {9, 54}} {
+		f := newFleet(size[0], size[1])
+		f.run(15 * time.Second)
+		if got := f.followers(); got > size[0] {
+			t.Errorf("%d data centres of %d: %d follow", size[0], size[1], got)
+		}
+		if f.oldest() > membership.StaleAfter+period {
+			t.Errorf("%d data centres of %d: a copy is %v old", size[0], size[1], f.oldest())
+		}
+	}
+}
+
+func TestAnotherFollowsWhenTheFollowerFallsSilent(t *testing.T) {
+	f := newFleet(1, 6)
+	f.run(5 * time.Second)
+	silent := -1
+	for i, core := range f.cores {
+		if core.Following() {
+			silent = i
+		}
+	}
+	f.cut = func(from, to int) bool { return from == silent || to == silent }
+	f.run(3 * time.Second)
+	for i, core := range f.cores {
+		if i != silent && core.ConfirmedAge(f.now) > membership.StaleAfter+2*period {
+			t.Errorf("instance %d has a copy of %v", i, core.ConfirmedAge(f.now))
+		}
+	}
+}
+
+func TestDataCentreThatTheStoreTurnsAwayHearsFromOthers(t *testing.T) {
+	f := newFleet(3, 3)
+	f.run(5 * time.Second)
+	f.store = func(i int) bool { return i >= 3 }
+	f.run(10 * time.Second)
+	if f.oldest() > 3*time.Second {
+		t.Errorf("a copy is %v old", f.oldest())
+	}
+}
+
+func TestBothSidesOfACutFollowAndOneStopsAfterIt(t *testing.T) {
+	f := newFleet(1, 8)
+	f.run(5 * time.Second)
+	f.cut = func(from, to int) bool { return from%2 != to%2 }
+	f.run(5 * time.Second)
+	if f.followers() < 2 || f.oldest() > 2*time.Second {
+		t.Errorf("during the cut %d follow, a copy is %v old", f.followers(), f.oldest())
+	}
+	f.cut = func(int, int) bool { return false }
+	f.run(3 * time.Second)
+	if f.followers() != 1 {
+		t.Errorf("after the cut %d follow", f.followers())
+	}
+}
+
+func TestUnregisteredSilentInstancesAreForgotten(t *testing.T) {
+	f := newFleet(1, 3)
+	f.run(2 * time.Second)
+	f.cores[0].Know(f.now+time.Minute, f.names[:2])
+	if near := f.cores[0].Near(); len(near) != 1 || near[0] != f.names[1].Endpoint {
+		t.Errorf("near: %v", near)
+	}
+}
+
+func TestLeavingInstanceIsNotAlive(t *testing.T) {
+	f := newFleet(1, 3)
+	f.run(2 * time.Second)
+	if got := f.cores[0].Alive(f.now); got != 2 {
+		t.Fatalf("%d alive", got)
+	}
+	f.cores[0].Hear(f.now, membership.Hello{From: f.names[1], Leaving: true}, false)
+	if got := f.cores[0].Alive(f.now); got != 1 {
+		t.Errorf("%d alive", got)
+	}
+}
+
+func TestBlankInstanceAsksItsSeedsButNotItself(t *testing.T) {
+	self := membership.Member{Name: "entry", Endpoint: netip.MustParseAddrPort("10.0.0.1:7720")}
+	other := netip.MustParseAddrPort("10.0.0.2:7720")
+	core := membership.New(self, []netip.AddrPort{self.Endpoint, other}, 1)
+	if got := core.Peers(); len(got) != 1 || got[0] != other {
+		t.Errorf("asks %v", got)
+	}
+}
