Log every decision that touches a request, and serve metrics

JSON lines on standard output through a ring that never blocks; 40 lines a second a message and a line that counts the rest; starts, stops, reloads and dependencies are never left out. Metrics by client_golang on port 9464.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"io"
+	"log"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
 	"github.com/tanagerweir/tanagerweir/pkg/process/entry"
+	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
 	"github.com/tanagerweir/tanagerweir/platform"
 )
 
@@ -24,7 +28,11 @@
 		Description: "Reads the settings file that the environment variable " + platform.SettingsVariable +
 			" names. SIGTERM stops as planned, SIGHUP reads the settings file again.",
 		UsageText: "tanagerweir entry",
-		Action:    func(ctx context.Context, c *cli.Command) error { return enter(ctx, c, out) },
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log", Value: "info", Usage: "least level that is logged: LEVEL, or LEVEL,Part=LEVEL,..."},
+			&cli.Uint16Flag{Name: "metrics-port", Value: entry.DefaultMetricsPort, Usage: "port that serves metrics"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error { return enter(ctx, c, out) },
 	}
 }
 
@@ -43,8 +51,16 @@
 	}
 	store, closeStore := platform.NewStore(s.Store.Endpoint)
 	defer closeStore()
-	logger := slog.New(slog.NewJSONHandler(out, nil))
-	node, closeNode, err := entry.New(entryOptions(s, store, logger))
+	levels, err := logs.ParseLevels(c.String("log"))
+	if err != nil {
+		return errors.Wrapf(tree.ErrMisused, "log: %v", err)
+	}
+	logger, closeLog := logs.NewStream(out, levels, time.Now)
+	defer closeLog()
+	logger = logger.With("Instance", s.Name)
+	log.SetOutput(logs.Libraries(logger))
+	logger.InfoContext(logs.Always(), "Instance: started.", "DataCentre", s.DataCentre, "Packets", s.Packets, "Peers", s.Peers, "Store", s.Store.Endpoint)
+	node, closeNode, err := entry.New(entryOptions(s, store, logger, c.Uint16("metrics-port")))
 	if err != nil {
 		return err
 	}
@@ -60,12 +76,13 @@
 	}
 }
 
-func entryOptions(s platform.Settings, store *platform.Store, logger *slog.Logger) entry.Options {
+func entryOptions(s platform.Settings, store *platform.Store, logger *slog.Logger, metricsPort uint16) entry.Options {
 	return entry.Options{
 		Name: s.Name, DataCentre: s.DataCentre,
 		Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath, Peers: s.Peers, Seeds: s.Seeds,
 		Format: platform.Format{}, Store: store, Translate: platform.Translate, EncodeInstance: platform.EncodeInstance,
 		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
+		Metrics:     netip.AddrPortFrom(s.Packets.Addr(), metricsPort),
 		MaxFlow:     s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
 	}
 }
@@ -75,13 +92,13 @@
 func reload(file string, before platform.Settings, node *entry.Instance, logger *slog.Logger) platform.Settings {
 	after, err := platform.LoadSettings(file)
 	if err != nil {
-		logger.Error("Settings: the file can't be used, nothing changes.", "Error", err)
+		logger.ErrorContext(logs.Always(), "Settings: the file can't be used, nothing changes.", "Error", err)
 		return before
 	}
 	if after.Packets != before.Packets || after.Ready != before.Ready || after.Peers != before.Peers || after.Store != before.Store {
-		logger.Warn("Settings: other endpoints take effect at the next start.")
+		logger.WarnContext(logs.Always(), "Settings: other endpoints take effect at the next start.")
 	}
 	node.Adjust(after.Seeds, after.Bounds.MaxFlow)
-	logger.Info("Settings: read again.", "Seeds", after.Seeds, "MaxFlow", after.Bounds.MaxFlow, "Grace", after.Bounds.Grace)
+	logger.InfoContext(logs.Always(), "Settings: read again.", "Seeds", after.Seeds, "MaxFlow", after.Bounds.MaxFlow, "Grace", after.Bounds.Grace)
 	return after
 }
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -26,6 +26,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -94,8 +95,14 @@
 	Endpoint netip.AddrPort
 	Number   uint64
 	Mark     mark.Mark
-	// Server is its identifier, for logs.
-	Server string
+	// Server, Service and DataCentre name it, and Route is the flow's, for logs.
+	Server, Service, DataCentre, Route string
+	// Load is what was known of the server when a flow was placed there.
+	Load placement.Candidate
+	// Began says that the packet begins a request, and Answered that it is the
+	// first to acknowledge an answer, after Waited.
+	Began, Answered bool
+	Waited          time.Duration
 }
 
 // Options are what a Core is told at its start.
@@ -128,6 +135,7 @@
 	confirmed, returned time.Duration
 	// answered is when a caller last acknowledged something new.
 	answered time.Duration
+	events   []Event
 }
 
 // New returns a Core that knows nothing yet.
@@ -176,14 +184,16 @@
 	if !ok {
 		return Decision{Verdict: Drop, Reason: UnknownMark}
 	}
-	c.observe(now, s, v)
+	seen := c.observe(now, s, v)
 	if reason, lost := c.lost(now, s, v); lost {
 		if f := c.flows.byKey[s.Flow]; f != nil {
 			c.flows.forget(f)
 		}
-		return Decision{Verdict: Reset, Reason: reason, Server: v.ID}
+		return v.decision(Reset, reason)
 	}
-	return v.forward(ByMark)
+	d := v.decision(Forward, ByMark)
+	d.Began, d.Answered, d.Waited = seen.began, seen.answered, seen.waited
+	return d
 }
 
 // lost says whether a flow is to be given up since its backend server has ended.
@@ -220,17 +230,22 @@
 	f := c.begin(now, s)
 	v := c.place(now, route, f)
 	if v == nil {
-		return Decision{Verdict: Reset, Reason: NoServer}
+		return Decision{Verdict: Reset, Reason: NoServer, Route: route.Name}
 	}
-	c.placed(now, f, v)
+	d := v.decision(Forward, Placed)
 	if s.Copy() > 0 {
-		return v.forward(PlacedAgain)
+		d.Reason = PlacedAgain
 	}
-	return v.forward(Placed)
+	d.Route, d.Load = route.Name, c.candidate(now, v)
+	c.placed(now, f, v)
+	return d
 }
 
-func (v *server) forward(r Reason) Decision {
-	return Decision{Verdict: Forward, Reason: r, Endpoint: v.Endpoint, Number: v.Number, Mark: v.mark, Server: v.ID}
+func (v *server) decision(verdict Verdict, r Reason) Decision {
+	return Decision{
+		Verdict: verdict, Reason: r, Endpoint: v.Endpoint, Number: v.Number, Mark: v.mark,
+		Server: v.ID, Service: v.Service, DataCentre: v.DataCentre,
+	}
 }
 
 // serviceOf chooses the service of a route for a flow. All copies of an opening
@@ -271,4 +286,7 @@
 		v.view.average += averageShare * (float64(v.view.running) - v.view.average)
 	}
 	c.combine(now)
+	for _, v := range c.servers.byMark {
+		c.judge(now, v)
+	}
 }
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -163,28 +163,40 @@
 	}
 }
 
+// progress is what a packet tells of the requests in its flow.
+type progress struct {
+	began, answered bool
+	waited          time.Duration
+}
+
 // observe takes a packet of an open flow.
-func (c *Core) observe(now time.Duration, s segment.Segment, v *server) {
+func (c *Core) observe(now time.Duration, s segment.Segment, v *server) progress {
 	f := c.flows.byKey[s.Flow]
 	if f == nil && s.Length == 0 {
-		return
+		return progress{}
 	}
 	if f == nil {
 		if f = c.flows.record(now, s.Flow); f == nil {
-			return
+			return progress{}
 		}
 	}
 	f.seen = now
 	if f.at != v {
 		c.established(now, s, f, v)
 	}
+	var seen progress
+	waiting := f.waiting
 	if f.acknowledge(now, s) {
 		c.answered = now
+		seen.answered, seen.waited = waiting, now-f.asked
 	}
+	waiting = f.waiting
 	f.send(now, s)
+	seen.began = f.waiting && !waiting
 	if s.Flags&(segment.Finish|segment.Abort) != 0 {
 		c.flows.forget(f)
 	}
+	return seen
 }
 
 // established notes the first packet of a flow after its opening.
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -20,6 +20,8 @@
 	// sent a new flow there before that.
 	coldUntil, coldSent time.Duration
 	view                view
+	// belief is what Events told last.
+	belief Belief
 }
 
 // registry holds the backend servers that marks can name.
--- a/pkg/process/entry/changes.go
+++ b/pkg/process/entry/changes.go
@@ -3,13 +3,15 @@
 import (
 	"slices"
 
+	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
+
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
 // tell logs what a newer directory changes.
 func (s *state) tell(before, after directory.Directory, from string) {
 	if after.Version() != before.Version() {
-		s.log.Info("Configuration: in force.", "Version", after.Version(), "Before", before.Version(), "Routes", after.Routes(), "From", from)
+		s.log.InfoContext(logs.Always(), "Configuration: in force.", "Version", after.Version(), "Before", before.Version(), "Routes", after.Routes(), "From", from)
 	}
 	if names := after.EvacuatedNames(); !slices.Equal(names, before.EvacuatedNames()) {
 		s.log.Info("Directory: data centres taken out.", "Out", names, "From", from)
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -17,6 +17,8 @@
 type decider struct {
 	options     Options
 	core        *forwarding.Core
+	witness     *witness
+	version     directory.Version
 	receiver    *receiver
 	now         func() time.Duration
 	directories chan directory.Directory
@@ -41,8 +43,8 @@
 // ringReports is how many reports of other instances wait for the decider.
 const ringReports = 32
 
-func newDecider(o Options, c *forwarding.Core, r *receiver, now func() time.Duration) *decider {
-	d := &decider{options: o, core: c, receiver: r, now: now, directories: make(chan directory.Directory, 1), reports: make(chan peerLoads, ringReports)}
+func newDecider(o Options, c *forwarding.Core, r *receiver, m *metrics, now func() time.Duration) *decider {
+	d := &decider{options: o, core: c, receiver: r, now: now, witness: &witness{log: o.Logger, metrics: m}, directories: make(chan directory.Directory, 1), reports: make(chan peerLoads, ringReports)}
 	d.maxFlow.Store(int64(o.MaxFlow))
 	return d
 }
@@ -93,6 +95,7 @@
 		case next := <-d.directories:
 			d.core.Confirm(d.now(), time.Duration(d.confirmed.Load()))
 			d.core.Adopt(d.now(), next)
+			d.version = next.Version()
 			if next.Version() > 0 {
 				d.receiver.start()
 			}
@@ -107,6 +110,8 @@
 func (d *decider) tick() {
 	now := d.now()
 	d.core.Tick(now, time.Duration(d.maxFlow.Load()))
+	d.witness.believed(d.core.Events())
+	d.witness.tell(now)
 	loads := d.core.Loads(now)
 	d.shared.Store(&loads)
 }
@@ -125,9 +130,16 @@
 func (d *decider) packet(now time.Duration, datagram []byte) {
 	s, err := d.options.Format.Parse(datagram[d.options.Format.Headroom():])
 	if err != nil {
+		d.witness.malformed()
 		return
 	}
 	decision := d.core.Decide(now, s)
+	d.witness.decided(s, decision, facts{version: uint64(d.version), confirmedAge: now - time.Duration(d.confirmed.Load())})
+	if decision.Began {
+		if id := d.options.Format.RequestID(datagram[d.options.Format.Headroom():]); id != "" {
+			d.witness.request(s, decision, id)
+		}
+	}
 	switch decision.Verdict {
 	case forwarding.Forward:
 		d.options.Format.Address(datagram, decision.Number, uint32(decision.Mark))
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -21,8 +21,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -41,6 +39,9 @@
 	Address(datagram []byte, number uint64, mark uint32)
 	// AppendReset appends the packet that gives a flow up.
 	AppendReset(b []byte, s segment.Segment) []byte
+	// RequestID returns the identifier of the request that begins in a packet,
+	// or nothing if the packet doesn't show it.
+	RequestID(packet []byte) string
 }
 
 // Store is the platform's key-value store.
@@ -57,6 +58,8 @@
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
 	// Reconnect makes the next call open a new connection.
 	Reconnect()
+	// CallCounts returns how many calls were made, by kind.
+	CallCounts() map[string]uint64
 }
 
 // Translate applies changed keys to a directory and returns what was unusable.
@@ -68,6 +71,8 @@
 	DataCentre string
 	Packets    netip.AddrPort
 	Ready      netip.AddrPort
+	// Metrics serves metrics, if it is valid.
+	Metrics netip.AddrPort
 	// ReadyPath is the path that the routers ask for at Ready.
 	ReadyPath string
 	// Peers takes datagrams and streams from other instances, and Seeds are the
@@ -122,7 +127,8 @@
 	core := forwarding.New(forwarding.Options{
 		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
 	})
-	i.decider = newDecider(o, core, receiver, i.now)
+	counts := newMetrics(o.Store.CallCounts, func() time.Duration { return i.now() - time.Duration(i.decider.confirmed.Load()) })
+	i.decider = newDecider(o, core, receiver, counts, i.now)
 	i.state = newState(o, i.decider, i.gate, i.now)
 	s := i.state
 	fetcher := newFetcher(o, s)
@@ -155,10 +161,19 @@
 	i.closers = append(i.closers, copies.close)
 	ready, err := newReadyServer(i.options, i.gate)
 	if err != nil {
-		return errors.Wrap(err, "serve readiness")
+		return err
 	}
 	i.closers = append(i.closers, ready.close)
 	i.start(copies.run, ready.run)
+	if !i.options.Metrics.IsValid() {
+		return nil
+	}
+	served, err := newMetricsServer(i.options, i.options.Metrics, i.decider.witness.metrics)
+	if err != nil {
+		return err
+	}
+	i.closers = append(i.closers, served.close)
+	i.start(served.run)
 	return nil
 }
 
--- a/pkg/process/entry/fetcher.go
+++ b/pkg/process/entry/fetcher.go
@@ -106,56 +106,47 @@
 
 // copyServer serves the instance's copy to others.
 type copyServer struct {
-	listener net.Listener
-	server   *http.Server
-	log      *slog.Logger
+	state *state
+	log   *slog.Logger
 }
 
-func newCopyServer(o Options, s *state) (*copyServer, error) {
+func newCopyServer(o Options, s *state) (*webServer, error) {
 	listener, err := net.Listen("tcp4", o.Peers.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for instances' fetches")
 	}
-	c := &copyServer{listener: listener, log: o.Logger}
+	c := copyServer{state: s, log: o.Logger}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+changesPath, func(w http.ResponseWriter, r *http.Request) { c.serve(w, r, s) })
-	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: fetchDeadline, WriteTimeout: fetchDeadline}
-	return c, nil
+	mux.HandleFunc("GET "+changesPath, c.serve)
+	return newWebServer("Exchange", listener, mux, fetchDeadline, o.Logger), nil
 }
 
-func (c *copyServer) serve(w http.ResponseWriter, r *http.Request, s *state) {
+func (c copyServer) serve(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after must be a revision", http.StatusBadRequest)
 		return
 	}
-	body, err := wire.EncodeBatch(s.since(after))
+	body, err := wire.EncodeBatch(c.state.since(after))
 	if err != nil {
 		c.log.Error("Exchange: the copy can't be encoded.", "Error", err)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	// Stateless compression holds no memory between fetches.
-	packed, err := gzip.NewWriterLevel(w, gzip.StatelessCompression)
-	if err != nil {
-		c.log.Error("Exchange: the copy can't be packed.", "Error", err)
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	if _, err := packed.Write(body); err != nil {
-		c.log.Info("Exchange: a fetch broke off.", "Error", err)
-		return
-	}
-	if err := packed.Close(); err != nil {
+	if err := pack(w, body); err != nil {
 		c.log.Info("Exchange: a fetch broke off.", "Error", err)
 	}
 }
 
-// run serves until the server is closed.
-func (c *copyServer) run() {
-	if err := c.server.Serve(c.listener); !errors.Is(err, http.ErrServerClosed) {
-		c.log.Error("Exchange: serving the copy ended.", "Error", err)
+// pack writes a body compressed. Stateless compression holds no memory between
+// fetches.
+func pack(w io.Writer, body []byte) error {
+	packed, err := gzip.NewWriterLevel(w, gzip.StatelessCompression)
+	if err != nil {
+		return err
 	}
+	if _, err := packed.Write(body); err != nil {
+		return err
+	}
+	return packed.Close()
 }
-
-func (c *copyServer) close() { _ = c.server.Close() }
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
+
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 )
 
@@ -83,7 +85,7 @@
 		return err
 	}
 	if f.failed > 0 {
-		f.log.Info("Follower: the store answers again.", "Failed", f.failed, "Revision", b.Revision)
+		f.log.InfoContext(logs.Always(), "Follower: the store answers again.", "Failed", f.failed, "Revision", b.Revision)
 	}
 	f.failed, f.whole = 0, false
 	before := f.state.revision()
@@ -116,11 +118,11 @@
 func (f *follower) recover(err error) {
 	if f.gone(err) {
 		f.whole = true
-		f.log.Info("Follower: the store dropped its history, all keys are read.", "Revision", f.state.revision())
+		f.log.InfoContext(logs.Always(), "Follower: the store dropped its history, all keys are read.", "Revision", f.state.revision())
 		return
 	}
 	f.failed++
-	f.log.Warn("Follower: the store can't be read.", "Error", err, "Failed", f.failed, "Revision", f.state.revision())
+	f.log.WarnContext(logs.Always(), "Follower: the store can't be read.", "Error", err, "Failed", f.failed, "Revision", f.state.revision())
 	f.store.Reconnect()
 }
 
--- /dev/null
+++ b/pkg/process/entry/metrics.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+)
+
+// DefaultMetricsPort is the port at which an instance serves its metrics.
+const DefaultMetricsPort = 9464
+
+// MetricsPath is where an instance serves its metrics.
+const MetricsPath = "/metrics"
+
+// metricsDeadline bounds one reading of the metrics.
+const metricsDeadline = 5 * time.Second
+
+// answerBuckets are the upper bounds of the time to an answer, in seconds: fine
+// around callers' targets of 120 to 800 ms.
+var answerBuckets = []float64{.01, .025, .05, .075, .1, .15, .2, .25, .3, .4, .5, .8, 1.5, 3, 10}
+
+// metrics are an instance's counts. The decider counts packets, others read.
+type metrics struct {
+	registry  *prometheus.Registry
+	packets   []prometheus.Counter
+	malformed prometheus.Counter
+	placed    *prometheus.CounterVec
+	answers   *prometheus.HistogramVec
+	beliefs   []prometheus.Counter
+}
+
+func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration) *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	packets := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tanagerweir_entry_packets_total", Help: "Packets from callers, by the reason of the decision.",
+	}, []string{"reason"})
+	for _, r := range forwarding.Reasons() {
+		m.packets = append(m.packets, packets.WithLabelValues(r.String()))
+	}
+	m.malformed = packets.WithLabelValues("Malformed")
+	m.placed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tanagerweir_entry_flows_placed_total", Help: "New flows and copies of their opening packets, by service and data centre.",
+	}, []string{"service", "data_centre", "reason"})
+	m.answers = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "tanagerweir_entry_answer_seconds", Help: "Time from a request's first packet to the first acknowledgement of its answer.",
+		Buckets: answerBuckets,
+	}, []string{"service"})
+	beliefs := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tanagerweir_entry_beliefs_total", Help: "Changes of what the instance believes of backend servers.",
+	}, []string{"belief"})
+	for _, b := range []forwarding.Belief{forwarding.Answering, forwarding.Suspected, forwarding.Silent} {
+		m.beliefs = append(m.beliefs, beliefs.WithLabelValues(b.String()))
+	}
+	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "tanagerweir_entry_confirmed_age_seconds", Help: "Time since the configuration was known to be the newest.",
+	}, func() float64 { return confirmedAge().Seconds() })
+	m.registry.MustRegister(packets, m.placed, m.answers, beliefs, age, storeCalls{read: calls, description: prometheus.NewDesc(
+		"tanagerweir_entry_store_calls_total", "Calls to the platform's store, by kind.", []string{"kind"}, nil)})
+	return m
+}
+
+// decided counts one packet.
+func (m *metrics) decided(d forwarding.Decision) {
+	m.packets[d.Reason].Inc()
+	switch {
+	case d.Reason == forwarding.Placed || d.Reason == forwarding.PlacedAgain:
+		m.placed.WithLabelValues(d.Service, d.DataCentre, d.Reason.String()).Inc()
+	case d.Answered:
+		m.answers.WithLabelValues(d.Service).Observe(d.Waited.Seconds())
+	}
+}
+
+// storeCalls collects the counts that the store's client keeps.
+type storeCalls struct {
+	read        func() map[string]uint64
+	description *prometheus.Desc
+}
+
+// Describe sends the metric's description.
+func (s storeCalls) Describe(to chan<- *prometheus.Desc) { to <- s.description }
+
+// Collect sends the counts.
+func (s storeCalls) Collect(to chan<- prometheus.Metric) {
+	for kind, n := range s.read() {
+		to <- prometheus.MustNewConstMetric(s.description, prometheus.CounterValue, float64(n), kind)
+	}
+}
+
+// newMetricsServer serves metrics at an endpoint.
+func newMetricsServer(o Options, at netip.AddrPort, m *metrics) (*webServer, error) {
+	listener, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for readers of metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+MetricsPath, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	return newWebServer("Metrics", listener, mux, metricsDeadline, o.Logger), nil
+}
--- a/pkg/process/entry/ready.go
+++ b/pkg/process/entry/ready.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -10,7 +9,7 @@
 	"github.com/go-faster/errors"
 )
 
-// readyDeadline bounds the reading of a probe, which comes twice a second.
+// readyDeadline bounds one probe, which comes twice a second.
 const readyDeadline = time.Second
 
 // gate says whether routers may send packets here. Once closed it stays so.
@@ -26,16 +25,10 @@
 
 func (g *gate) isOpen() bool { return g.known.Load() && !g.closed.Load() }
 
-type readyServer struct {
-	listener net.Listener
-	server   *http.Server
-	log      *slog.Logger
-}
-
-func newReadyServer(o Options, g *gate) (*readyServer, error) {
+func newReadyServer(o Options, g *gate) (*webServer, error) {
 	listener, err := net.Listen("tcp4", o.Ready.String())
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "listen for routers' probes")
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+o.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -43,14 +36,5 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return &readyServer{listener: listener, server: &http.Server{Handler: mux, ReadHeaderTimeout: readyDeadline}, log: o.Logger}, nil
-}
-
-// run answers the routers until the server is closed.
-func (r *readyServer) run() {
-	if err := r.server.Serve(r.listener); !errors.Is(err, http.ErrServerClosed) {
-		r.log.Error("Ready: serving ended.", "Error", err)
-	}
+	return newWebServer("Ready", listener, mux, readyDeadline, o.Logger), nil
 }
-
-func (r *readyServer) close() { _ = r.server.Close() }
--- a/pkg/process/entry/registrar.go
+++ b/pkg/process/entry/registrar.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
+
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
@@ -63,7 +65,7 @@
 			continue
 		}
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
-			r.log.Warn("Registrar: the instance isn't registered.", "Error", err)
+			r.log.WarnContext(logs.Always(), "Registrar: the instance isn't registered.", "Error", err)
 			pause(ctx, time.Duration(r.random.Int64N(int64(missingFor))))
 		}
 	}
@@ -93,7 +95,7 @@
 		return err
 	}
 	r.lease, r.renewed, r.seen = lease, r.now(), r.now()
-	r.log.Info("Registrar: registered.", "Lease", lease)
+	r.log.InfoContext(logs.Always(), "Registrar: registered.", "Lease", lease)
 	return nil
 }
 
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
+
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
@@ -49,7 +51,7 @@
 	age := s.members.ConfirmedAge(s.now())
 	follows := s.members.Follows(s.now())
 	if follows && !before {
-		s.log.Info("Follower: begins to follow the store.", "ConfirmedAge", age, "Revision", s.replica.Revision())
+		s.log.InfoContext(logs.Always(), "Follower: begins to follow the store.", "ConfirmedAge", age, "Revision", s.replica.Revision())
 	}
 	return follows
 }
@@ -84,7 +86,7 @@
 	s.tell(before, next, from)
 	s.decider.adopt(next)
 	if next.Version() > 0 && s.gate.know() {
-		s.log.Info("Instance: ready.", "Version", next.Version(), "Revision", b.Revision, "After", s.now(), "From", from)
+		s.log.InfoContext(logs.Always(), "Instance: ready.", "Version", next.Version(), "Revision", b.Revision, "After", s.now(), "From", from)
 	}
 	return true
 }
@@ -118,7 +120,7 @@
 	following := s.members.Following()
 	s.members.Hear(s.now(), h, current)
 	if following && !s.members.Following() {
-		s.log.Info("Follower: leaves the store to another instance.", "Instance", h.From.Name)
+		s.log.InfoContext(logs.Always(), "Follower: leaves the store to another instance.", "Instance", h.From.Name)
 	}
 	s.decider.confirm(s.now() - s.members.ConfirmedAge(s.now()))
 	return h.Revision > mine
--- a/pkg/process/entry/stop.go
+++ b/pkg/process/entry/stop.go
@@ -1,6 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
+)
 
 const (
 	// turnAway is how long routers may still send new flows here after the gate
@@ -21,7 +25,7 @@
 func (i *Instance) Stop(grace time.Duration) {
 	i.gate.close()
 	began := i.now()
-	i.options.Logger.Info("Instance: stopping, packets are still forwarded.", "Grace", grace)
+	i.options.Logger.InfoContext(logs.Always(), "Instance: stopping, packets are still forwarded.", "Grace", grace)
 	poll := time.NewTicker(stopPoll)
 	defer poll.Stop()
 	for range poll.C {
@@ -31,5 +35,5 @@
 			break
 		}
 	}
-	i.options.Logger.Info("Instance: stopped.", "After", i.now()-began)
+	i.options.Logger.InfoContext(logs.Always(), "Instance: stopped.", "After", i.now()-began)
 }
--- a/pkg/process/logs/logs.go
+++ b/pkg/process/logs/logs.go
@@ -30,8 +30,8 @@
 // Parts returns the names of the parts that log.
 func Parts() []string {
 	return []string{
-		"Admin", "Archive", "Certificate", "Claims", "Configuration", "Entrance", "Exchange",
-		"Inspector", "Instance", "Keeper", "Libraries", "Packets", "Registrar", "Roster", "Servers", "Spread",
+		"Admin", "Archive", "Certificate", "Claims", "Configuration", "Directory", "Entrance", "Exchange", "Flow", "Follower",
+		"Inspector", "Instance", "Keeper", "Libraries", "Log", "Metrics", "Packets", "Ready", "Registrar", "Request", "Roster", "Server", "Servers", "Settings", "Spread",
 	}
 }
 
--- /dev/null
+++ b/pkg/process/logs/stream_test.go
@@ -0,0 +1,111 @@
+package logs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
+)
+
+// recorder is a log file that can be held up.
+type recorder struct {
+	mu   sync.Mutex
+	held chan struct{}
+	text bytes.Buffer
+}
+
+func (r *recorder) Write(line []byte) (int, error) {
+	if r.held != nil {
+		<-r.held
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(line)
+}
+
+func (r *recorder) count(t *testing.T, message string) int {
+	t.Helper()
+	n := 0
+	for line := range strings.Lines(r.text.String()) {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+		if fields["msg"] == message {
+			n++
+		}
+	}
+	return n
+}
+
+func levels(t *testing.T, text string) logs.Levels {
+	t.Helper()
+	l, err := logs.ParseLevels(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func TestFloodOfOneMessageStaysBelowItsRateAndIsCounted(t *testing.T) {
+	var r recorder
+	now := time.Unix(0, 0)
+	log, closeLog := logs.NewStream(&r, levels(t, "info"), func() time.Time { return now })
+	for range 10 {
+		for range 10_000 {
+			log.Info("Packets: dropped.")
+		}
+		log.Info("Exchange: another message.")
+		now = now.Add(time.Second)
+	}
+	closeLog()
+	if got := r.count(t, "Packets: dropped."); got > 120+10*40 || got < 120 {
+		t.Errorf("%d lines of 100,000 in ten seconds", got)
+	}
+	if got := r.count(t, "Exchange: another message."); got != 10 {
+		t.Errorf("%d of 10 lines of another message", got)
+	}
+	if r.count(t, "Log: lines were left out.") == 0 {
+		t.Error("nothing says that lines were left out")
+	}
+}
+
+func TestStartsStopsAndDependenciesAreNeverLeftOut(t *testing.T) {
+	var r recorder
+	log, closeLog := logs.NewStream(&r, levels(t, "info"), func() time.Time { return time.Unix(0, 0) })
+	for range 1000 {
+		log.InfoContext(logs.Always(), "Follower: the store answers again.")
+	}
+	closeLog()
+	if got := r.count(t, "Follower: the store answers again."); got != 1000 {
+		t.Errorf("%d of 1000 lines", got)
+	}
+}
+
+func TestSlowReaderNeverBlocksWriters(t *testing.T) {
+	r := recorder{held: make(chan struct{})}
+	log, closeLog := logs.NewStream(&r, levels(t, "info"), func() time.Time { return time.Unix(0, 0) })
+	for range 5000 {
+		log.InfoContext(logs.Always(), "Instance: ready.")
+	}
+	close(r.held)
+	closeLog()
+	if got := r.count(t, "Instance: ready."); got >= 5000 || got < 2000 {
+		t.Errorf("%d of 5000 lines were kept", got)
+	}
+}
+
+func TestPartsHaveLevelsOfTheirOwn(t *testing.T) {
+	var r recorder
+	log, closeLog := logs.NewStream(&r, levels(t, "info,Flow=warn"), func() time.Time { return time.Unix(0, 0) })
+	log.Info("Flow: placed.")
+	log.Info("Server: described.")
+	closeLog()
+	if r.count(t, "Flow: placed.") != 0 || r.count(t, "Server: described.") != 1 {
+		t.Errorf("log: %s", r.text.String())
+	}
+}
