--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -36,10 +37,15 @@
 	}
 }
 
+// heapGrowth is by how many percent the heap may grow between two collections.
+// The live heap is about 1 MB, and memory is dearer than the time to collect it.
+const heapGrowth = 30
+
 func enter(ctx context.Context, c *cli.Command, out io.Writer) error {
 	if c.Args().Present() {
 		return errors.Wrapf(tree.ErrMisused, "entry takes no argument %q", c.Args().First())
 	}
+	debug.SetGCPercent(heapGrowth)
 	// Before anything else: without a handler the signal would end the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -136,6 +136,7 @@
 	if err != nil {
 		return err
 	}
+	fetcher.pass = exchange.pass
 	i.closers = append(i.closers, exchange.close)
 	follower := newFollower(o, s, exchange.push, i.now)
 	registrar, err := newRegistrar(o, s, i.now)
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -78,8 +78,13 @@
 	if w.Hello.From.Name == e.name {
 		return
 	}
-	if e.state.hear(w.Hello, w.Batch) {
-		e.fetcher.ask(w.Hello.From.Endpoint)
+	away := w.Hello.From.DataCentre != e.centre
+	advanced, newer := e.state.hear(w.Hello, w.Batch)
+	if advanced && away {
+		e.pass()
+	}
+	if newer {
+		e.fetcher.ask(source{at: w.Hello.From.Endpoint, away: away})
 	}
 	if w.Hello.From.DataCentre == e.centre && len(w.Loads) > 0 {
 		e.decider.hear(peerLoads{name: w.Hello.From.Name, loads: w.Loads, alive: e.state.alive()})
@@ -100,15 +105,21 @@
 	}
 }
 
-// push tells all instances of the data centre what is new since the last time.
-func (e *exchange) push() {
+// push tells others what the store brought.
+func (e *exchange) push() { e.announce(e.state.told()) }
+
+// pass tells the data centre what came from another one.
+func (e *exchange) pass() { e.announce(e.state.near()) }
+
+// announce tells what is new since the last time.
+func (e *exchange) announce(to []netip.AddrPort) {
 	h := e.state.hello()
 	b := e.state.since(e.told.Swap(h.Revision))
 	w := wire.Word{Hello: h}
 	if !b.Whole && size(b) <= batchBytes {
 		w.Batch = &b
 	}
-	e.send(w, e.state.near())
+	e.send(w, to)
 }
 
 // size estimates the bytes of a batch.
--- a/pkg/process/entry/fetcher.go
+++ b/pkg/process/entry/fetcher.go
@@ -33,17 +33,26 @@
 	state  *state
 	log    *slog.Logger
 	client *http.Client
-	asked  chan netip.AddrPort
+	asked  chan source
+	// pass tells the data centre what came from another one.
+	pass func()
+}
+
+// source is an instance with a newer copy.
+type source struct {
+	at netip.AddrPort
+	// away says that it is in another data centre.
+	away bool
 }
 
 func newFetcher(o Options, s *state) *fetcher {
 	// Other instances come and go, so no connection is kept.
 	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	return &fetcher{state: s, log: o.Logger, client: &http.Client{Transport: t}, asked: make(chan netip.AddrPort, 1)}
+	return &fetcher{state: s, log: o.Logger, client: &http.Client{Transport: t}, asked: make(chan source, 1)}
 }
 
 // ask wants changes from an instance, unless some are being fetched already.
-func (f *fetcher) ask(from netip.AddrPort) {
+func (f *fetcher) ask(from source) {
 	select {
 	case f.asked <- from:
 	default:
@@ -62,16 +71,21 @@
 	}
 }
 
-func (f *fetcher) bring(ctx context.Context, from netip.AddrPort) {
+func (f *fetcher) bring(ctx context.Context, from source) {
 	ctx, cancel := context.WithTimeout(ctx, fetchDeadline)
 	defer cancel()
-	b, err := f.fetch(ctx, from, f.state.revision())
+	before := f.state.revision()
+	b, err := f.fetch(ctx, from.at, before)
 	if err != nil {
-		f.log.Info("Exchange: changes can't be fetched.", "From", from, "Error", err)
+		f.log.Info("Exchange: changes can't be fetched.", "From", from.at, "Error", err)
+		return
+	}
+	if !f.state.take(b, from.at.String()) {
+		f.log.Info("Exchange: fetched changes don't join on.", "From", from.at, "After", b.After, "Revision", f.state.revision())
 		return
 	}
-	if !f.state.take(b, from.String()) {
-		f.log.Info("Exchange: fetched changes don't join on.", "From", from, "After", b.After, "Revision", f.state.revision())
+	if from.away && f.state.revision() > before {
+		f.pass()
 	}
 }
 
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -13,8 +13,8 @@
 
 const (
 	// watchWait is how long the store holds a watch without changes. Each answer
-	// confirms the copy, and instances follow themselves after 1.25 s without.
-	watchWait = 700 * time.Millisecond
+	// confirms the copy, and instances follow themselves after 1.7 s without.
+	watchWait = 800 * time.Millisecond
 	// callSlack is the time that an answer may take beyond that: the store
 	// answers in 4 ms, and a few hundred when it is slow.
 	callSlack = 500 * time.Millisecond
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -108,10 +108,12 @@
 	return ok && found == i
 }
 
-// hear takes another instance's word, and says whether its copy is newer.
-func (s *state) hear(h membership.Hello, b *replica.Batch) (newer bool) {
+// hear takes another instance's word. It says whether that brought the copy
+// forward, and whether the other's is newer still.
+func (s *state) hear(h membership.Hello, b *replica.Batch) (advanced, newer bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.replica.Revision()
 	if b != nil {
 		s.apply(*b, h.From.Name)
 	}
@@ -123,7 +125,7 @@
 		s.log.InfoContext(logs.Always(), "Follower: leaves the store to another instance.", "Instance", h.From.Name)
 	}
 	s.decider.confirm(s.now() - s.members.ConfirmedAge(s.now()))
-	return h.Revision > mine
+	return mine > before, h.Revision > mine
 }
 
 // hello returns what the instance says of itself.
@@ -157,6 +159,13 @@
 	s.members.Seed(seeds)
 }
 
+// told returns whom a follower tells what is new.
+func (s *state) told() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Told()
+}
+
 // near returns the other instances of the data centre.
 func (s *state) near() []netip.AddrPort {
 	s.mu.Lock()
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -1,11 +1,12 @@
 // Package membership keeps one instance's view of the others, and decides which
 // of them read the platform's store for all.
 //
-// In each data centre one instance follows the store and tells the others. Any
-// instance whose copy hasn't been confirmed for a while begins to follow, and of
-// two that follow in one data centre and hear each other the one with the higher
-// rank stops. So a copy stays fresh wherever anyone reaches the store, and no
-// agreement is needed: two followers at once only cost calls.
+// One instance follows the store and tells all others of its data centre and some
+// of each other one, which pass it on. Any instance whose copy hasn't been
+// confirmed for a while begins to follow, and of two that follow and hear each
+// other the one with the higher rank stops. So a copy stays fresh wherever anyone
+// reaches the store, and no agreement is needed: two followers at once only cost
+// calls.
 //
 // # Usage
 //
@@ -35,8 +36,10 @@
 
 const (
 	// StaleAfter is how long a copy may go unconfirmed until its holder follows
-	// the store itself: a follower confirms every 0.7 s and tells it in 0.25 s.
-	StaleAfter = 1250 * time.Millisecond
+	// the store itself: a follower confirms every 0.8 s, tells it in 0.25 s, and
+	// in another data centre it is passed on once or twice. Rules leave 3 s for a
+	// change to take effect.
+	StaleAfter = 1700 * time.Millisecond
 	// staleSpread parts the instances that find their copies stale at once.
 	staleSpread = 400 * time.Millisecond
 	// yieldAge is the oldest confirmation for which a follower makes way.
@@ -48,6 +51,8 @@
 	fanOut = 4
 	// awayEvery is one in how many periods a word goes to another data centre.
 	awayEvery = 2
+	// relays is how many instances of each other data centre a follower tells.
+	relays = 2
 )
 
 // Member is one instance.
@@ -146,8 +151,7 @@
 	if current {
 		c.confirmed = max(c.confirmed, now-h.ConfirmedAge)
 	}
-	near := h.From.DataCentre == c.self.DataCentre
-	if c.following && near && h.Following && !h.Leaving && h.ConfirmedAge <= yieldAge && rankOf(h.From.Name) < c.rank {
+	if c.following && h.Following && !h.Leaving && h.ConfirmedAge <= yieldAge && rankOf(h.From.Name) < c.rank {
 		c.following = false
 	}
 }
@@ -193,27 +197,55 @@
 	return alive
 }
 
-// Peers returns whom to tell in this period: all of the own data centre while
-// the instance follows, else some of it, and now and then one elsewhere. Until
-// an instance knows others it asks the seeds.
+// Peers returns whom to tell in this period: some instances of the own data
+// centre and now and then one elsewhere, and all that Told returns while the
+// instance follows. Until it knows others it asks the seeds.
 func (c *Core) Peers() []netip.AddrPort {
 	c.periods++
 	if len(c.peers) == 0 {
 		return c.seeds
 	}
+	if c.following {
+		return c.Told()
+	}
 	near := c.Near()
-	if !c.following && len(near) > fanOut {
-		c.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-		near = near[:fanOut]
+	if len(near) > fanOut {
+		near = c.draw(near, fanOut)
 	}
 	if c.periods%awayEvery != 0 {
 		return near
 	}
 	away := c.endpoints(func(p *peer) bool { return p.member.DataCentre != c.self.DataCentre })
-	if len(away) > 0 {
-		near = append(near, away[c.random.IntN(len(away))])
+	return append(near, c.draw(away, 1)...)
+}
+
+// Told returns whom a follower tells what is new: its data centre, and instances
+// of each other one that pass it on.
+func (c *Core) Told() []netip.AddrPort {
+	told := c.Near()
+	for _, centre := range c.centres() {
+		there := c.endpoints(func(p *peer) bool { return p.member.DataCentre == centre })
+		told = append(told, c.draw(there, relays)...)
+	}
+	return told
+}
+
+// centres returns the other data centres, sorted.
+func (c *Core) centres() []string {
+	var centres []string
+	for _, p := range c.peers {
+		if p.member.DataCentre != c.self.DataCentre && !slices.Contains(centres, p.member.DataCentre) {
+			centres = append(centres, p.member.DataCentre)
+		}
 	}
-	return near
+	slices.Sort(centres)
+	return centres
+}
+
+// draw returns some of the endpoints.
+func (c *Core) draw(from []netip.AddrPort, n int) []netip.AddrPort {
+	c.random.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+	return from[:min(n, len(from))]
 }
 
 func (c *Core) endpoints(wanted func(*peer) bool) []netip.AddrPort {
