--- a/cmd/tanagerweir/cmds/commands.go
+++ b/cmd/tanagerweir/cmds/commands.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"log"
+	"path/filepath"
 
 	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
 
@@ -22,6 +23,7 @@
 	"github.com/tanagerweir/tanagerweir/pkg/process/instance"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
+	"github.com/tanagerweir/tanagerweir/platform"
 )
 
 // Exit codes.
@@ -39,7 +41,8 @@
 	}
 	fmt.Fprintln(problems, err)
 	var wrong *settings.ProblemsError
-	if errors.As(err, &wrong) || errors.Is(err, tree.ErrMisused) {
+	var wrongPlatform *platform.ProblemsError
+	if errors.As(err, &wrong) || errors.As(err, &wrongPlatform) || errors.Is(err, tree.ErrMisused) {
 		return exitMisused
 	}
 	return exitFailed
@@ -70,14 +73,28 @@
 	if c.Args().Len() != 1 {
 		return errors.Wrap(tree.ErrMisused, "check takes one settings file")
 	}
-	s, err := settings.Load(c.Args().First())
+	name, dataCentre, err := loadNames(c.Args().First())
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.Root().Writer, "%s: settings of instance %s in data centre %s are fine\n", c.Args().First(), s.Name, s.DataCentre)
+	_, err = fmt.Fprintf(c.Root().Writer, "%s: settings of instance %s in data centre %s are fine\n", c.Args().First(), name, dataCentre)
 	return err
 }
 
+// platformSettings is the ending of the platform's settings files.
+const platformSettings = ".toml"
+
+// loadNames checks a settings file, ours or the platform's, and returns the
+// instance that it is for.
+func loadNames(file string) (name, dataCentre string, err error) {
+	if filepath.Ext(file) == platformSettings {
+		s, err := platform.LoadSettings(file)
+		return s.Name, s.DataCentre, err
+	}
+	s, err := settings.Load(file)
+	return s.Name, s.DataCentre, err
+}
+
 func serve(ctx context.Context, c *cli.Command, problems io.Writer) error {
 	if c.Args().Present() {
 		return errors.Wrapf(tree.ErrMisused, "tanagerweir has no command %q", c.Args().First())
