Log the request with resets and drops, and when an instance is cut off

Cause: of 13 failed requests, 4 were in no line, since their first packet met a reset (flows at silent servers) or a drop; one told nothing of its instance's cut.

--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -134,12 +134,13 @@
 		return
 	}
 	decision := d.core.Decide(now, s)
-	d.witness.decided(s, decision, facts{version: uint64(d.version), confirmedAge: now - time.Duration(d.confirmed.Load())})
-	if decision.Began {
-		if id := d.options.Format.RequestID(datagram[d.options.Format.Headroom():]); id != "" {
-			d.witness.request(s, decision, id)
-		}
+	id := ""
+	if s.Length > 0 && (decision.Began || decision.Verdict != forwarding.Forward) {
+		id = d.options.Format.RequestID(datagram[d.options.Format.Headroom():])
 	}
+	d.witness.decided(s, decision, facts{
+		request: id, version: uint64(d.version), confirmedAge: now - time.Duration(d.confirmed.Load()),
+	})
 	switch decision.Verdict {
 	case forwarding.Forward:
 		d.options.Format.Address(datagram, decision.Number, uint32(decision.Mark))
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -26,8 +26,14 @@
 	replica   *replica.Replica
 	directory directory.Directory
 	members   *membership.Core
+	// alone says that the loss of the store and of those that reach it was told.
+	alone bool
 }
 
+// aloneAfter is the age of the copy's last confirmation at which the instance
+// counts as cut off: others that find theirs stale follow the store by then.
+const aloneAfter = 2500 * time.Millisecond
+
 func newState(o Options, d *decider, g *gate, now func() time.Duration) *state {
 	self := membership.Member{Name: o.Name, DataCentre: o.DataCentre, Endpoint: o.Peers}
 	return &state{
@@ -133,11 +139,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.members.Hello(s.now())
+	s.tellAlone(h.ConfirmedAge)
 	h.Revision = s.replica.Revision()
 	h.Leaving = s.gate.isClosed()
 	return h
 }
 
+// tellAlone logs when the instance is cut off, and when that is over.
+func (s *state) tellAlone(age time.Duration) {
+	switch alone := age > aloneAfter; {
+	case alone && !s.alone:
+		s.log.WarnContext(logs.Always(), "Instance: cut off from the store and from instances that reach it.",
+			"ConfirmedAge", age, "Version", s.directory.Version(), "Revision", s.replica.Revision())
+	case !alone && s.alone:
+		s.log.InfoContext(logs.Always(), "Instance: the configuration is confirmed again.",
+			"ConfirmedAge", age, "Version", s.directory.Version(), "Revision", s.replica.Revision())
+	}
+	s.alone = age > aloneAfter
+}
+
 // since returns what brings a copy at that revision up to this one.
 func (s *state) since(revision uint64) replica.Batch {
 	s.mu.Lock()
--- a/pkg/process/entry/witness.go
+++ b/pkg/process/entry/witness.go
@@ -14,9 +14,9 @@
 	metrics *metrics
 	// spoilt counts packets that couldn't be read since the last line on them.
 	spoilt int
-	// unmarked and unknown count packets dropped for their marks, likewise.
-	unmarked, unknown int
-	told              time.Duration
+	// unmarked counts packets that name no backend server, likewise.
+	unmarked int
+	told     time.Duration
 }
 
 // spoiltEvery is how often dropped packets are told, in one line a reason.
@@ -28,8 +28,16 @@
 	w.spoilt++
 }
 
-// decided logs a decision that touches a request. Confirmed is the age of the
-// configuration and version its version.
+// facts are what a decision went by, beside the packet.
+type facts struct {
+	// request is the identifier of the request that the packet begins, if it
+	// shows one.
+	request      string
+	version      uint64
+	confirmedAge time.Duration
+}
+
+// decided counts a decision, and logs it if it touches a request.
 func (w *witness) decided(s segment.Segment, d forwarding.Decision, facts facts) {
 	w.metrics.decided(d)
 	switch {
@@ -40,30 +48,23 @@
 			"DataCentre", d.DataCentre, "Copy", s.Copy(), "Running", d.Load.Running, "Open", d.Load.Open, "Slots", d.Load.Slots, "Local", d.Load.Local)...)
 	case d.Reason == forwarding.NoMark:
 		w.unmarked++
-	case d.Reason == forwarding.UnknownMark:
-		w.unknown++
-		w.log.Info("Flow: dropped.", append(w.fields(s, d, facts), "Mark", s.Mark)...)
 	case d.Verdict == forwarding.Drop:
-		w.log.Info("Flow: dropped.", w.fields(s, d, facts)...)
+		w.log.Info("Flow: dropped.", append(w.fields(s, d, facts), "Mark", s.Mark)...)
+	case facts.request != "":
+		w.log.Info("Request: forwarded.", "RequestId", facts.request,
+			"Caller", s.Flow.Caller, "Route", s.Flow.Route, "Server", d.Server, "DataCentre", d.DataCentre)
 	}
 }
 
-// facts are what a decision went by, beside the packet.
-type facts struct {
-	version      uint64
-	confirmedAge time.Duration
-}
-
 func (w *witness) fields(s segment.Segment, d forwarding.Decision, facts facts) []any {
-	return []any{
+	fields := []any{
 		"Caller", s.Flow.Caller, "Route", s.Flow.Route, "Reason", d.Reason.String(), "Server", d.Server,
 		"Version", facts.version, "ConfirmedAge", facts.confirmedAge,
 	}
-}
-
-// request logs that a request began.
-func (w *witness) request(s segment.Segment, d forwarding.Decision, id string) {
-	w.log.Info("Request: forwarded.", "RequestId", id, "Caller", s.Flow.Caller, "Route", s.Flow.Route, "Server", d.Server, "DataCentre", d.DataCentre)
+	if facts.request != "" {
+		fields = append(fields, "RequestId", facts.request)
+	}
+	return fields
 }
 
 // believed logs what the core believes of backend servers.
@@ -91,5 +92,5 @@
 	if w.unmarked > 0 {
 		w.log.Info("Packets: some named no backend server.", "Packets", w.unmarked)
 	}
-	w.spoilt, w.unmarked, w.unknown = 0, 0, 0
+	w.spoilt, w.unmarked = 0, 0
 }
--- a/pkg/process/explanation/cause.go
+++ b/pkg/process/explanation/cause.go
@@ -67,7 +67,7 @@
 		after := l.At.Sub(last.At).Round(time.Millisecond)
 		switch {
 		case l.Message == "Server: its entry is gone.":
-			return fmt.Sprintf("backend server %s ended: its entry went %v after the flow's last packet seen here", server, after)
+			return fmt.Sprintf("backend server %s ended: its entry went %v from the flow's last packet seen here", server, after)
 		case l.Message == "Server: described." && l.Fields["Restarted"] == "true":
 			return fmt.Sprintf("backend server %s started again %v after the flow's last packet seen here", server, after)
 		case strings.HasPrefix(l.Message, "Server: silent"), l.Message == "Server: suspected.":
@@ -88,8 +88,8 @@
 		switch l.Message {
 		case "Instance: started.":
 			return fmt.Sprintf("instance %s ended and started again %v after the flow's last packet seen there", l.Instance, after)
-		case "Follower: the store can't be read.":
-			return fmt.Sprintf("instance %s was cut off: the store didn't answer it %v after the flow's last packet", l.Instance, after)
+		case "Follower: the store can't be read.", "Instance: cut off from the store and from instances that reach it.":
+			return fmt.Sprintf("instance %s was cut off: it lost the store, noticed %v after the flow's last packet seen there", l.Instance, after)
 		}
 	}
 	return ""
