--- a/cmd/weirctl/cmds/report.go
+++ b/cmd/weirctl/cmds/report.go
@@ -14,13 +14,23 @@
 func reportCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "report",
-		Usage:     "show how each class is served against its target",
-		UsageText: "weirctl report\nweirctl --format json report\nweirctl report --format html > report.html",
-		Action:    showReport,
+		Usage:     "show how each class is served against its target, or who was served and who waited by the logs of instances",
+		ArgsUsage: "[LOG...]",
+		UsageText: "weirctl report\nweirctl --format json report\nweirctl report --format html > report.html\nweirctl --format html report entry-1.log entry-2.log > day.html",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: flagSlow, Value: 200 * time.Millisecond, Usage: "wait from which on an answered request counts as slow, with logs"},
+		},
+		Action: showReport,
 	}
 }
 
+// flagSlow is the least wait of a slow request.
+const flagSlow = "slow"
+
 func showReport(ctx context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return reportDay(c)
+	}
 	r, err := report.Collect(ctx, caller(c), c.String(flagInstance))
 	if err != nil {
 		return err
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -193,6 +193,9 @@
 	}
 	d := v.decision(Forward, ByMark)
 	d.Began, d.Answered, d.Waited = seen.began, seen.answered, seen.waited
+	if r, ok := c.directory.Route(s.Flow.Route); ok && seen.began {
+		d.Route = r.Name
+	}
 	return d
 }
 
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -49,7 +49,7 @@
 		Name: "tanagerweir_entry_flows_placed_total", Help: "New flows and copies of their opening packets, by service and data centre.",
 	}, []string{"service", "data_centre", "reason"})
 	m.answers = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Name: "tanagerweir_entry_answer_seconds", Help: "Time from a request's first packet to the first acknowledgement of its answer.",
+		Name: "tanagerweir_entry_answer_seconds", Help: "Time from a request's first packet to the first acknowledgement of its answer, which callers may delay.",
 		Buckets: answerBuckets,
 	}, []string{"service"})
 	beliefs := prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/pkg/process/entry/witness.go
+++ b/pkg/process/entry/witness.go
@@ -51,9 +51,12 @@
 	case d.Verdict == forwarding.Drop:
 		w.log.Info("Flow: dropped.", append(w.fields(s, d, facts), "Mark", s.Mark)...)
 	case facts.request != "":
-		w.log.Info("Request: forwarded.", "RequestId", facts.request,
+		w.log.Info("Request: forwarded.", "RequestId", facts.request, "Class", d.Route,
 			"Caller", s.Flow.Caller, "Route", s.Flow.Route, "Server", d.Server, "DataCentre", d.DataCentre)
 	}
+	if d.Answered {
+		w.log.Info("Request: answered.", "Caller", s.Flow.Caller, "Route", s.Flow.Route, "Server", d.Server, "Waited", d.Waited)
+	}
 }
 
 func (w *witness) fields(s segment.Segment, d forwarding.Decision, facts facts) []any {
--- a/pkg/process/explanation/explanation.go
+++ b/pkg/process/explanation/explanation.go
@@ -123,7 +123,7 @@
 }
 
 // durations are the fields that hold nanoseconds.
-var durations = []string{"ConfirmedAge", "SilentFor", "ColdLeft", "After", "Grace", "MaxFlow"}
+var durations = []string{"ConfirmedAge", "SilentFor", "ColdLeft", "After", "Grace", "MaxFlow", "Waited"}
 
 func readable(name string, value any, word string) string {
 	if n, ok := value.(float64); ok && slices.Contains(durations, name) {
@@ -135,6 +135,12 @@
 	return word
 }
 
+// Lines returns all lines in order of time.
+func (g *Log) Lines() []Line {
+	slices.SortStableFunc(g.lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	return g.lines
+}
+
 // Story is what became of a request.
 type Story struct {
 	// Lines are those of its flow and of what it met, in order of time.
@@ -148,7 +154,7 @@
 // Explain tells what became of a request, by its identifier or by the address and
 // port of its caller: a request that was refused never showed its identifier.
 func (g *Log) Explain(id string) (Story, error) {
-	slices.SortStableFunc(g.lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	g.Lines()
 	own := g.flow(id)
 	if len(own) == 0 {
 		return Story{}, errors.Wrapf(ErrUnknown, "request %q", id)
