Keep what instances tell each other within 3 KB a second

Cause: an instance told four others all loads four times a second, 12 KB/s in data centres of twenty; a follower told every instance, 20 KB/s at 490. Loads go to as many as the budget allows; a follower tells ten in a period, and others pass its name and age on, so that of several followers one remains.

--- /dev/null
+++ b/pkg/connection/forwarding/bench_test.go
@@ -0,0 +1,130 @@
+package forwarding_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
+	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
+)
+
+// fleetSizes are backend servers and the services over which they are spread:
+// today's, the grown deployments' and the size to design for.
+var fleetSizes = []struct{ servers, services int }{{18, 2}, {150, 2}, {3800, 1200}}
+
+// sized returns a deployment of that size with one route a service.
+func sized(servers, services int) directory.Directory {
+	c := directory.Configuration{Version: 1}
+	for n := range services {
+		name := fmt.Sprintf("service-%d", n)
+		c.Routes = append(c.Routes, directory.Route{
+			Endpoint: routeOf(n), Kind: directory.Repeatable, Shares: []directory.Share{{Service: name, Weight: 1}},
+		})
+		c.Services = append(c.Services, directory.Service{Name: name})
+	}
+	d := directory.New().WithConfiguration(c)
+	for n := range servers {
+		d = d.WithServer(directory.Server{
+			ID: fmt.Sprintf("i-%08x", n), Number: uint64(n + 1), Service: fmt.Sprintf("service-%d", n%services),
+			DataCentre: []string{near, far}[n%2], Slots: 3, Revision: 1,
+			Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 8080),
+		})
+	}
+	return d
+}
+
+func routeOf(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(n >> 8), byte(n)}), 443)
+}
+
+func bySize(b *testing.B, run func(b *testing.B, c *forwarding.Core)) {
+	b.Helper()
+	for _, size := range fleetSizes {
+		c := newCore(sized(size.servers, size.services))
+		b.Run(fmt.Sprintf("Servers=%d", size.servers), func(b *testing.B) { run(b, c) })
+	}
+}
+
+func BenchmarkKnownMark(b *testing.B) {
+	bySize(b, func(b *testing.B, c *forwarding.Core) {
+		p := newCaller(routeOf(0))
+		p.mark = uint32(c.Decide(0, p.open(0)).Mark)
+		s := p.acknowledge()
+		b.ReportAllocs()
+		for b.Loop() {
+			c.Decide(time.Second, s)
+		}
+	})
+}
+
+func BenchmarkUnknownMark(b *testing.B) {
+	bySize(b, func(b *testing.B, c *forwarding.Core) {
+		p := newCaller(routeOf(0))
+		p.mark = 1
+		s := p.acknowledge()
+		b.ReportAllocs()
+		for b.Loop() {
+			c.Decide(time.Second, s)
+		}
+	})
+}
+
+// BenchmarkPlacement opens and finishes flows, so that records are used again.
+func BenchmarkPlacement(b *testing.B) {
+	bySize(b, func(b *testing.B, c *forwarding.Core) {
+		p := newCaller(routeOf(0))
+		open, finish := p.open(0), p.finish()
+		b.ReportAllocs()
+		for b.Loop() {
+			finish.Mark = uint32(c.Decide(time.Second, open).Mark)
+			request := segment.Segment{Flow: p.flow, Flags: segment.Acknowledge, Sequence: p.sequence, Mark: finish.Mark, Length: 200}
+			c.Decide(time.Second, request)
+			c.Decide(time.Second, finish)
+		}
+	})
+}
+
+func BenchmarkAdopt(b *testing.B) {
+	for _, size := range fleetSizes {
+		d := sized(size.servers, size.services)
+		c := newCore(d)
+		b.Run(fmt.Sprintf("Servers=%d", size.servers), func(b *testing.B) {
+			for b.Loop() {
+				c.Adopt(time.Second, d.WithServer(d.Servers()[0]))
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	bySize(b, func(b *testing.B, c *forwarding.Core) {
+		for b.Loop() {
+			c.Tick(time.Second, maxFlow)
+			c.Loads(time.Second)
+		}
+	})
+}
+
+// TestDecisionsAllocateNothing holds the packet path to no allocation.
+func TestDecisionsAllocateNothing(t *testing.T) {
+	c := newCore(sized(150, 2))
+	p := newCaller(routeOf(0))
+	open := p.open(0)
+	p.mark = uint32(c.Decide(time.Second, open).Mark)
+	acknowledge, finish := p.acknowledge(), p.finish()
+	for name, decide := range map[string]func(){
+		"known mark":   func() { c.Decide(time.Second, acknowledge) },
+		"unknown mark": func() { unknown := acknowledge; unknown.Mark = 1; c.Decide(time.Second, unknown) },
+		"placement": func() {
+			c.Decide(time.Second, open)
+			c.Decide(time.Second, finish)
+		},
+	} {
+		if got := testing.AllocsPerRun(100, decide); got != 0 {
+			t.Errorf("%s: %v allocations", name, got)
+		}
+	}
+}
--- a/pkg/process/dayreport/dayreport.go
+++ b/pkg/process/dayreport/dayreport.go
@@ -144,6 +144,10 @@
 }
 
 func (b *book) forwarded(l explanation.Line) {
+	if l.Fields["Class"] == "" {
+		// A later packet of a request that was counted.
+		return
+	}
 	counts := []*Counts{
 		b.all, of(b.classes, l.Fields["Class"]), of(b.centres, b.home[l.Instance]), of(b.servers, l.Fields["Server"]), of(b.bins, b.bin(l.At)),
 	}
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -135,7 +135,8 @@
 	}
 	decision := d.core.Decide(now, s)
 	id := ""
-	if s.Length > 0 && (decision.Began || decision.Verdict != forwarding.Forward) {
+	if s.Length > 0 {
+		// A request's head may reach into its second packet.
 		id = d.options.Format.RequestID(datagram[d.options.Format.Headroom():])
 	}
 	d.witness.decided(s, decision, facts{
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -39,8 +39,8 @@
 	Address(datagram []byte, number uint64, mark uint32)
 	// AppendReset appends the packet that gives a flow up.
 	AppendReset(b []byte, s segment.Segment) []byte
-	// RequestID returns the identifier of the request that begins in a packet,
-	// or nothing if the packet doesn't show it.
+	// RequestID returns the identifier of the request whose head is in a packet,
+	// or nothing if the packet doesn't show it whole.
 	RequestID(packet []byte) string
 }
 
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -18,6 +18,9 @@
 	// exchangePeriod is the time between two words to other instances. A copy
 	// counts as stale after 1.25 s, which leaves room for two lost words.
 	exchangePeriod = 250 * time.Millisecond
+	// controlBytes is what an instance may spend on telling others, in bytes a
+	// second: the design's figure for all control.
+	controlBytes = 3000
 	// datagramBytes is the longest datagram to another instance; longer ones may
 	// be cut on the way.
 	datagramBytes = 1400
@@ -96,7 +99,7 @@
 	ticks := time.NewTicker(exchangePeriod)
 	defer ticks.Stop()
 	for {
-		e.send(wire.Word{Hello: e.state.hello(), Loads: e.decider.loads()}, e.state.peers())
+		e.tell()
 		select {
 		case <-ctx.Done():
 			return
@@ -105,6 +108,21 @@
 	}
 }
 
+// tell sends a word to some instances, as many as the budget allows. A follower
+// tells more of them and no loads.
+func (e *exchange) tell() {
+	w := wire.Word{Hello: e.state.hello()}
+	if !w.Hello.Following {
+		w.Loads = e.decider.loads()
+	}
+	datagram, ok := e.encode(w)
+	if !ok {
+		return
+	}
+	limit := int(controlBytes * exchangePeriod.Seconds() / float64(len(datagram)))
+	e.write(datagram, e.state.peers(max(limit, 1)))
+}
+
 // push tells others what the store brought.
 func (e *exchange) push() { e.announce(e.state.told()) }
 
@@ -133,14 +151,24 @@
 }
 
 func (e *exchange) send(w wire.Word, to []netip.AddrPort) {
+	if datagram, ok := e.encode(w); ok {
+		e.write(datagram, to)
+	}
+}
+
+func (e *exchange) encode(w wire.Word) (datagram []byte, ok bool) {
 	datagram, err := wire.Encode(w)
 	if err != nil {
 		e.log.Error("Exchange: a word can't be encoded.", "Error", err)
-		return
+		return nil, false
 	}
 	if len(datagram) > datagramBytes {
 		e.log.Debug("Exchange: a word is long.", "Bytes", len(datagram))
 	}
+	return datagram, true
+}
+
+func (e *exchange) write(datagram []byte, to []netip.AddrPort) {
 	for _, at := range to {
 		if _, err := e.conn.WriteToUDPAddrPort(datagram, at); err != nil && !e.closed.Load() {
 			e.log.Debug("Exchange: a word can't be sent.", "To", at, "Error", err)
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -128,7 +128,7 @@
 	following := s.members.Following()
 	s.members.Hear(s.now(), h, current)
 	if following && !s.members.Following() {
-		s.log.InfoContext(logs.Always(), "Follower: leaves the store to another instance.", "Other", h.From.Name)
+		s.log.InfoContext(logs.Always(), "Follower: leaves the store to another instance.", "Other", h.From.Name, "Follower", s.members.Follower())
 	}
 	s.decider.confirm(s.now() - s.members.ConfirmedAge(s.now()))
 	return mine > before, h.Revision > mine
@@ -165,11 +165,12 @@
 	return s.replica.Since(revision)
 }
 
-// peers returns whom to tell in this period.
-func (s *state) peers() []netip.AddrPort {
+// peers returns whom to tell in this period, of the own data centre at most as
+// many as the limit.
+func (s *state) peers(limit int) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.members.Peers()
+	return s.members.Peers(limit)
 }
 
 // seed replaces the endpoints that are asked while no instance is known.
--- a/pkg/process/entry/witness.go
+++ b/pkg/process/entry/witness.go
@@ -30,8 +30,7 @@
 
 // facts are what a decision went by, beside the packet.
 type facts struct {
-	// request is the identifier of the request that the packet begins, if it
-	// shows one.
+	// request is the identifier of a request, if the packet shows one whole.
 	request      string
 	version      uint64
 	confirmedAge time.Duration
@@ -50,7 +49,7 @@
 		w.unmarked++
 	case d.Verdict == forwarding.Drop:
 		w.log.Info("Flow: dropped.", append(w.fields(s, d, facts), "Mark", s.Mark)...)
-	case facts.request != "":
+	case facts.request != "" || d.Began:
 		w.log.Info("Request: forwarded.", "RequestId", facts.request, "Class", d.Route,
 			"Caller", s.Flow.Caller, "Route", s.Flow.Route, "Server", d.Server, "DataCentre", d.DataCentre)
 	}
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -17,7 +17,7 @@
 //	if core.Follows(now) {
 //		watch()
 //	}
-//	for _, to := range core.Peers() {
+//	for _, to := range core.Peers(limit) {
 //		send(to, hello)
 //	}
 //
@@ -25,6 +25,7 @@
 package membership
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -42,13 +43,18 @@
 	StaleAfter = 1700 * time.Millisecond
 	// staleSpread parts the instances that find their copies stale at once.
 	staleSpread = 400 * time.Millisecond
-	// yieldAge is the oldest confirmation for which a follower makes way.
-	yieldAge = 1100 * time.Millisecond
+	// yieldAge is the oldest word of another follower for which one makes way.
+	yieldAge = 1500 * time.Millisecond
 	// heardFor is how long an instance counts as alive after its last word.
 	heardFor = 5 * time.Second
-	// fanOut is how many instances of the own data centre hear of loads in one
-	// period; with entries of some 300 bytes, four a period stay below 3 KB/s.
-	fanOut = 4
+	// followerFan is how many instances a follower tells in one period of 0.25 s:
+	// with words of some 70 bytes it stays below 3 KB/s. The rest hear of it from
+	// others.
+	followerFan = 10
+	// spreadStep is the time that a confirmation takes for each doubling of a data
+	// centre beyond spreadFrom instances, which hear of it at once.
+	spreadStep = 150 * time.Millisecond
+	spreadFrom = 8
 	// awayEvery is one in how many periods a word goes to another data centre.
 	awayEvery = 2
 	// relays is how many instances of each other data centre a follower tells.
@@ -71,7 +77,11 @@
 	ConfirmedAge time.Duration
 	// Following says that it reads the store itself.
 	Following bool
-	Leaving   bool
+	// Follower is the one of the lowest rank that it knows to follow, empty for
+	// none, and FollowerAge how long ago that one said so.
+	Follower    string
+	FollowerAge time.Duration
+	Leaving     bool
 }
 
 type peer struct {
@@ -92,6 +102,10 @@
 	patience  time.Duration
 	following bool
 	periods   int
+	// follower is the other follower of the lowest rank that was heard of, and
+	// said when it said so.
+	follower string
+	said     time.Duration
 }
 
 // New returns the view of an instance that knows only some endpoints, which may
@@ -151,20 +165,43 @@
 	if current {
 		c.confirmed = max(c.confirmed, now-h.ConfirmedAge)
 	}
-	if c.following && h.Following && !h.Leaving && h.ConfirmedAge <= yieldAge && rankOf(h.From.Name) < c.rank {
+	if h.Following && !h.Leaving && h.ConfirmedAge <= yieldAge {
+		c.note(now, h.From.Name, now)
+	}
+	if h.Follower != "" {
+		c.note(now, h.Follower, now-h.FollowerAge)
+	}
+	if c.following && c.follower != "" && rankOf(c.follower) < c.rank && now-c.said <= yieldAge {
 		c.following = false
 	}
 }
 
+// note remembers another follower, the one of the lowest rank that spoke lately.
+func (c *Core) note(now time.Duration, name string, said time.Duration) {
+	switch {
+	case name == c.self.Name || now-said > yieldAge:
+	case name == c.follower:
+		c.said = max(c.said, said)
+	case c.follower == "" || now-c.said > yieldAge || rankOf(name) < rankOf(c.follower):
+		c.follower, c.said = name, said
+	}
+}
+
 // Confirm notes that the instance's copy was the newest at that time.
 func (c *Core) Confirm(at time.Duration) { c.confirmed = max(c.confirmed, at) }
 
 // ConfirmedAge returns how long ago the copy was known to be the newest.
 func (c *Core) ConfirmedAge(now time.Duration) time.Duration { return now - c.confirmed }
 
+// Patience returns how old a confirmation may be until the instance follows.
+func (c *Core) Patience() time.Duration {
+	size := uint(len(c.peers)) / uint(len(c.centres())+1)
+	return c.patience + time.Duration(bits.Len(size/spreadFrom))*spreadStep
+}
+
 // Follows says whether the instance is to follow the store.
 func (c *Core) Follows(now time.Duration) bool {
-	if !c.following && c.ConfirmedAge(now) > c.patience {
+	if !c.following && c.ConfirmedAge(now) > c.Patience() {
 		c.following = true
 	}
 	return c.following
@@ -173,12 +210,19 @@
 // Hello returns what the instance says of itself, but for its revision and
 // whether it leaves.
 func (c *Core) Hello(now time.Duration) Hello {
-	return Hello{From: c.self, ConfirmedAge: c.ConfirmedAge(now), Following: c.following}
+	h := Hello{From: c.self, ConfirmedAge: c.ConfirmedAge(now), Following: c.following}
+	if c.follower != "" && now-c.said <= yieldAge {
+		h.Follower, h.FollowerAge = c.follower, now-c.said
+	}
+	return h
 }
 
 // Following says what Follows said last.
 func (c *Core) Following() bool { return c.following }
 
+// Follower returns the name of another instance that follows, empty for none.
+func (c *Core) Follower() string { return c.follower }
+
 // Near returns the endpoints of all instances of the own data centre that may be
 // alive.
 func (c *Core) Near() []netip.AddrPort {
@@ -197,21 +241,18 @@
 	return alive
 }
 
-// Peers returns whom to tell in this period: some instances of the own data
-// centre and now and then one elsewhere, and all that Told returns while the
-// instance follows. Until it knows others it asks the seeds.
-func (c *Core) Peers() []netip.AddrPort {
+// Peers returns whom to tell in this period: at most limit instances of the own
+// data centre and now and then one elsewhere, and some of those that Told returns
+// while the instance follows. Until it knows others it asks the seeds.
+func (c *Core) Peers(limit int) []netip.AddrPort {
 	c.periods++
 	if len(c.peers) == 0 {
 		return c.seeds
 	}
 	if c.following {
-		return c.Told()
-	}
-	near := c.Near()
-	if len(near) > fanOut {
-		near = c.draw(near, fanOut)
+		return c.draw(c.Told(), followerFan)
 	}
+	near := c.draw(c.Near(), limit)
 	if c.periods%awayEvery != 0 {
 		return near
 	}
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -35,6 +35,7 @@
 		},
 		Revision: w.Hello.Revision, ConfirmedAgeMilliseconds: age(w.Hello.ConfirmedAge),
 		Following: w.Hello.Following, Leaving: w.Hello.Leaving,
+		Follower: w.Hello.Follower, FollowerAgeMilliseconds: age(w.Hello.FollowerAge),
 	}
 	for _, l := range w.Loads {
 		m.Loads = append(m.Loads, &Load{
@@ -69,6 +70,7 @@
 		},
 		Revision: m.GetRevision(), ConfirmedAge: duration(m.GetConfirmedAgeMilliseconds()),
 		Following: m.GetFollowing(), Leaving: m.GetLeaving(),
+		Follower: m.GetFollower(), FollowerAge: duration(m.GetFollowerAgeMilliseconds()),
 	}}
 	for _, l := range m.GetLoads() {
 		w.Loads = append(w.Loads, forwarding.Load{
--- /dev/null
+++ b/service/entry/conversions_test.go
@@ -0,0 +1,76 @@
+package entry_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
+	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
+	"github.com/tanagerweir/tanagerweir/service/entry"
+)
+
+var sample = entry.Word{
+	Hello: membership.Hello{
+		From:     membership.Member{Name: "entry-1", DataCentre: "dakar-1", Endpoint: netip.MustParseAddrPort("10.1.0.10:7720")},
+		Revision: 412, ConfirmedAge: 700 * time.Millisecond, Following: true, Leaving: true,
+		Follower: "entry-2", FollowerAge: 250 * time.Millisecond,
+	},
+	Loads: []forwarding.Load{{
+		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second,
+	}},
+	Batch: &replica.Batch{After: 410, Revision: 412, Changes: []replica.Change{
+		{Key: "a", Value: []byte("1"), Revision: 411}, {Key: "b", Revision: 412, Deleted: true},
+	}},
+}
+
+func TestWordSurvivesTheWire(t *testing.T) {
+	datagram, err := entry.Encode(sample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := entry.Decode(datagram)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(sample, got, cmpopts.EquateComparable(netip.AddrPort{})); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestBatchSurvivesTheWire(t *testing.T) {
+	want := replica.Batch{Revision: 9, Whole: true, Changes: []replica.Change{{Key: "k", Value: []byte("v"), Revision: 3}}}
+	body, err := entry.EncodeBatch(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := entry.DecodeBatch(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	datagram, err := entry.Encode(sample)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(datagram)
+	f.Add(datagram[:len(datagram)/2])
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		word, err := entry.Decode(datagram)
+		if err != nil {
+			return
+		}
+		if word.Hello.From.Name == "" || word.Hello.From.Endpoint.Port() == 0 {
+			t.Errorf("word of nobody: %+v", word.Hello)
+		}
+	})
+}
