--- /dev/null
+++ b/cmd/weirctl/cmds/check_test.go
@@ -0,0 +1,32 @@
+package cmds_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestCheckNamesTheProblemsOfAllFilesAtOnce(t *testing.T) {
+	directory := t.TempDir()
+	wrong := filepath.Join(directory, "system.toml")
+	if err := os.WriteFile(wrong, []byte("build = \"\"\n[roles.a]\nrun = \"x\"\non = \"front\"\nshare = 1.0\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	fine := "../../../examples/teranga/dakar-1-entry-1.ini"
+	code, out := run(t, "check", wrong, fine)
+	if code != 2 {
+		t.Errorf("exit code %d", code)
+	}
+	for _, want := range []string{`build = ""`, `roles.a.run = "x"`, "dakar-1-entry-1.ini: fine"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q isn't in:\n%s", want, out)
+		}
+	}
+	if code, out := run(t, "check", fine); code != 0 {
+		t.Errorf("exit code %d\n%s", code, out)
+	}
+	if code, _ := run(t, "check", filepath.Join(directory, "missing.toml")); code != 1 {
+		t.Errorf("missing file: exit code %d", code)
+	}
+}
--- a/cmd/weirctl/cmds/commands.go
+++ b/cmd/weirctl/cmds/commands.go
@@ -136,6 +136,7 @@
 			standinCommand(),
 			benchCommand(),
 			replayCommand(),
+			checkCommand(),
 		},
 	})
 }
--- a/pkg/process/entry/entry_test.go
+++ b/pkg/process/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -290,3 +291,51 @@
 	receive(t, v.conn)
 	<-stopped
 }
+
+// lineCounter counts the lines of a log.
+type lineCounter struct{ lines atomic.Int64 }
+
+func (l *lineCounter) Write(b []byte) (int, error) {
+	l.lines.Add(1)
+	return len(b), nil
+}
+
+func TestFloodOfMalformedPacketsLeavesTheLogSmall(t *testing.T) {
+	stand, store := stores(t)
+	v := newBackend(t, "i-1")
+	stand.Put("servers/"+v.id, v.describe("ready"))
+	stand.Put("op/config", []byte(fmt.Sprintf(configuration, 1)))
+	var counter lineCounter
+	o := options(t, "entry-1", store)
+	o.Logger = slog.New(slog.NewJSONHandler(&counter, nil))
+	start(t, o)
+	until(t, "ready", func() bool { return ready(t, o) == http.StatusOK })
+	sender := socket(t)
+	before, began := counter.lines.Load(), time.Now()
+	for range 10_000 {
+		if _, err := sender.WriteToUDPAddrPort([]byte("not a packet of ours"), o.Packets); err != nil {
+			t.Fatal(err)
+		}
+	}
+	port := uint16(43000)
+	arrived := make(chan struct{})
+	go func() {
+		defer close(arrived)
+		receive(t, v.conn)
+	}()
+	until(t, "a good packet", func() bool {
+		port++
+		send(t, o.Packets, synPacket(t, port))
+		select {
+		case <-arrived:
+			return true
+		default:
+			return false
+		}
+	})
+	seconds := int64(time.Since(began)/time.Second) + 1
+	good := int64(port - 43000)
+	if got := counter.lines.Load() - before - good; got > 50*seconds {
+		t.Errorf("%d lines in %d s", got, seconds)
+	}
+}
