Soak instances as processes under drawn faults

Real processes on loopback, with a stand-in of the store behind a proxy for each instance, backend servers and callers; kills, pauses, planned stops, hang-ups, refusals, silence, lost answers, dropped history, ended leases, delayed, reset and one-way connections, silent and leaving backend servers, changed configurations, in overlapping series. Checked: right service, flows stay where they are open, no reset of a flow whose server lives, nothing new for leaving servers and removed routes after 3 s, service 4 s after the last fault.

--- a/cmd/weirctl/cmds/commands.go
+++ b/cmd/weirctl/cmds/commands.go
@@ -137,6 +137,7 @@
 			benchCommand(),
 			replayCommand(),
 			checkCommand(),
+			soakCommand(),
 		},
 	})
 }
--- /dev/null
+++ b/cmd/weirctl/cmds/soak.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerweir/tanagerweir/cmd/internal/soak"
+)
+
+// ErrBroken says that a promise was broken in a soak.
+var ErrBroken = errors.New("a promise was broken")
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "soak",
+		Usage:     "run instances as processes, inject drawn faults from outside, and check what callers and backend servers see",
+		UsageText: "weirctl soak --binary target/tanagerweir --seed 1 --seeds 5 --for 10s",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binary", Value: "target/tanagerweir", Usage: "program that runs an instance"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
+			&cli.Uint64Flag{Name: "seeds", Value: 1, Usage: "how many seeds, one after the other"},
+			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "how long faults are injected for each seed"},
+			&cli.StringFlag{Name: "logs", Usage: "directory that keeps the logs of instances"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	broken := false
+	for n := range c.Uint64("seeds") {
+		r, err := soak.Run(ctx, soak.Options{
+			Binary: c.String("binary"), Seed: c.Uint64("seed") + n, For: c.Duration("for"), LogDirectory: c.String("logs"),
+		})
+		if err != nil {
+			return err
+		}
+		out := c.Root().Writer
+		fmt.Fprintf(out, "Seed %d: %d faults, %d of %d requests served, %d promises broken.\n", r.Seed, len(r.Faults), r.Served, r.Asked, len(r.Broken))
+		if len(r.Broken) == 0 {
+			continue
+		}
+		broken = true
+		for _, line := range append(r.Faults, r.Broken...) {
+			fmt.Fprintln(out, line)
+		}
+		fmt.Fprintf(out, "Again: weirctl soak --seed %d --for %v --binary %s\n", r.Seed, c.Duration("for"), c.String("binary"))
+	}
+	if broken {
+		return ErrBroken
+	}
+	return nil
+}
