--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -134,13 +134,20 @@
 	})
 }
 
-// heal ends what may still be disturbed.
-func (w *world) heal(context.Context) {
+// heal ends what may still be disturbed, and removes the seasonal route, so that
+// the calm end shows whether that is in force.
+func (w *world) heal() {
 	w.store.Fail(standin.Fault{})
 	for _, i := range w.instances {
 		i.signal(syscall.SIGCONT)
 		i.proxy.mode.Store(passing)
 	}
+	w.mu.Lock()
+	removed := w.version%2 == 0
+	w.mu.Unlock()
+	if !removed {
+		w.configure()
+	}
 }
 
 func (w *world) between(least, most time.Duration) time.Duration {
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -124,7 +124,7 @@
 	}
 	defer w.end()
 	w.inject(ctx)
-	w.heal(ctx)
+	w.heal()
 	wait(ctx, settleFor)
 	served, asked := w.callers.counts()
 	wait(ctx, measureFor)
