--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"net"
 	"net/netip"
 	"sync"
@@ -13,6 +12,7 @@
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/platform"
+	"github.com/tanagerweir/tanagerweir/platform/standin"
 )
 
 const (
@@ -32,10 +32,11 @@
 	resends       = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, budget}
 )
 
-// reply is a packet that a caller got, with the sum that tells who made it.
+// reply is a packet that a caller got.
 type reply struct {
 	parsed segment.Segment
-	sum    uint32
+	// signed says that a backend server made it, and not an instance.
+	signed bool
 }
 
 // callers are all callers behind one socket.
@@ -90,7 +91,7 @@
 		flow := c.replies[p.Flow.Route.Port()]
 		c.mu.Unlock()
 		select {
-		case flow <- reply{parsed: p, sum: binary.BigEndian.Uint32(buffer[offSum:])}:
+		case flow <- reply{parsed: p, signed: standin.Signed(buffer)}:
 		default:
 		}
 	}
@@ -144,7 +145,7 @@
 		sequence += uint32(len(requestData))
 		wait(ctx, thinkFor)
 	}
-	c.send(newPacket(f, flagACK|flagFIN, sequence, serverSequence, mark, nil), f, 0)
+	c.send(segment.Segment{Flow: f, Flags: segment.Acknowledge | segment.Finish, Sequence: sequence, Acknowledged: serverSequence, Mark: mark}, nil)
 }
 
 var requestData = []byte("GET / HTTP/1.1\r\nRequest-Id: 1\r\n\r\n")
@@ -162,7 +163,7 @@
 			break
 		}
 		if copies < len(openingCopies)-1 {
-			c.send(newPacket(f, flagSYN, 100, uint32(copies), 0, nil), f, copies)
+			c.send(segment.Segment{Flow: f, Flags: segment.Open, Sequence: 100, Acknowledged: uint32(copies)}, nil)
 		}
 	}
 	if ok {
@@ -190,7 +191,7 @@
 			break
 		}
 		if copies < len(resends)-1 {
-			c.send(newPacket(f, flagACK, sequence, serverSequence, mark, requestData), f, copies)
+			c.send(segment.Segment{Flow: f, Flags: segment.Acknowledge, Sequence: sequence, Acknowledged: serverSequence, Mark: mark}, requestData)
 		}
 	}
 	return done && !aborted
@@ -199,7 +200,7 @@
 // reset checks a reset of an open flow.
 func (c *callers) reset(f segment.Flow, r reply) {
 	s := c.at(f.Caller.Port())
-	if r.sum == 0 && s != nil && s.sound() && c.world.calm() {
+	if !r.signed && s != nil && s.sound() && c.world.calm() {
 		c.world.broken("an instance reset a flow that is open at %s, which lives", s.id)
 	}
 }
@@ -224,8 +225,8 @@
 }
 
 // send hands a packet to the instance that the routers choose.
-func (c *callers) send(packet []byte, f segment.Flow, _ int) {
-	if i := c.world.routed(f); i != nil {
-		_, _ = c.conn.WriteToUDPAddrPort(packet, i.packets) // a datagram may be lost
+func (c *callers) send(s segment.Segment, data []byte) {
+	if i := c.world.routed(s.Flow); i != nil {
+		_, _ = c.conn.WriteToUDPAddrPort(standin.Packet(s, data), i.packets) // a datagram may be lost
 	}
 }
--- a/cmd/internal/soak/instance.go
+++ b/cmd/internal/soak/instance.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,7 +18,9 @@
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
+	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 	"github.com/tanagerweir/tanagerweir/platform"
+	"github.com/tanagerweir/tanagerweir/platform/standin"
 )
 
 const (
@@ -32,10 +33,10 @@
 	restartAfter = 300 * time.Millisecond
 	// graceFor is the time from SIGTERM to SIGKILL.
 	graceFor = 6 * time.Second
+	// memoryBytes is what the settings allow a process.
+	memoryBytes = 284 << 20
 )
 
-var centres = []string{"near", "far"}
-
 // instance is one process and what the platform knows of it.
 type instance struct {
 	world    *world
@@ -67,28 +68,11 @@
 	}
 	i.ready = netip.AddrPortFrom(addressOf(n), ready)
 	i.settings = filepath.Join(w.directory, i.name+".toml")
-	text := fmt.Sprintf(`nodeName = %q
-ip = %q
-zone = %q
-internalPorts = [%d, %d]
-heartbeatMs = 1000
-encap = "echo"
-[zones]
-near = "here"
-far = "here"
-[listen]
-packetAddr = %q
-ready = %q
-[limits]
-memoryMb = 284
-[bounds]
-graceS = 6
-maxFlowS = 60
-coldOverage = 1.5
-coldSlack = 5
-[platform]
-address = %q
-`, i.name, addressOf(n), centres[n%len(centres)], peers, peers, i.packets, i.ready, i.proxy.endpoint())
+	text := standin.SettingsText(platform.Settings{
+		Name: i.name, DataCentre: centres[n%len(centres)], Packets: i.packets, Ready: i.ready,
+		Peers: netip.AddrPortFrom(addressOf(n), peers), Heartbeat: time.Second, MemoryBytes: memoryBytes,
+		Store: platform.StoreSettings{Endpoint: i.proxy.endpoint()}, Bounds: standin.SampleBounds(),
+	})
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings")
 	}
@@ -221,19 +205,25 @@
 func (w *world) configure() {
 	w.mu.Lock()
 	w.version++
-	routes := []string{route("board", boardRoute, services[0]), route("ledger", ledgerRoute, services[1])}
+	routes := []directory.Route{route(boardRoute), route(ledgerRoute)}
 	if w.version%2 == 1 {
-		routes = append(routes, route("seasonal", seasonalRoute, services[0]))
+		routes = append(routes, route(seasonalRoute))
 		delete(w.removed, seasonalRoute.String())
 	} else {
 		w.removed[seasonalRoute.String()] = time.Now()
 	}
-	version := w.version
+	c := directory.Configuration{Version: directory.Version(w.version), Routes: routes, IdleTimeout: 15 * time.Second}
 	w.mu.Unlock()
-	w.store.Put("op/config", []byte(fmt.Sprintf(`{"configVersion":%d,"routes":[%s],"services":[{"name":"board","coldS":2,"coldPerS":4},{"name":"ledger","coldS":2,"coldPerS":4}],"limits":{"idleTimeoutMs":15000}}`,
-		version, strings.Join(routes, ","))))
+	for _, name := range services {
+		c.Services = append(c.Services, directory.Service{Name: name, ColdFor: 2 * time.Second, ColdRate: 4})
+	}
+	if err := w.store.Configure(c); err != nil {
+		w.broken("the configuration can't be written: %v", err)
+	}
 }
 
-func route(name string, at netip.AddrPort, service string) string {
-	return fmt.Sprintf(`{"name":%q,"host":%q,"prefix":"/%d/","routeKind":"safe","service":%q}`, name, at.Addr(), at.Port(), service)
+func route(at netip.AddrPort) directory.Route {
+	return directory.Route{
+		Name: at.String(), Endpoint: at, Kind: directory.Repeatable, Shares: []directory.Share{{Service: serviceOf(at), Weight: 1}},
+	}
 }
--- a/cmd/internal/soak/server.go
+++ b/cmd/internal/soak/server.go
@@ -13,7 +13,9 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
+	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 	"github.com/tanagerweir/tanagerweir/platform"
+	"github.com/tanagerweir/tanagerweir/platform/standin"
 )
 
 const (
@@ -22,14 +24,14 @@
 	serversAtStart = 3
 	// firstNumber is the number of the first backend server.
 	firstNumber = 0x1000
+	// serverSequence is where a backend server's data begins.
+	serverSequence = 5000
 	// lapseAfter is when the entry of a silent server goes.
 	lapseAfter = 3 * time.Second
 	// leaveAfter is how long a draining server stays.
 	leaveAfter = 4 * time.Second
 )
 
-var services = []string{"board", "ledger"}
-
 // server stands in for a backend server.
 type server struct {
 	world   *world
@@ -65,16 +67,17 @@
 	}
 	w.servers = append(w.servers, s)
 	w.mu.Unlock()
-	s.describe("ready")
+	s.describe(false)
 	w.duties.Go(func() { s.run(ctx) })
 	return nil
 }
 
 func (s *server) endpoint() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-func (s *server) describe(state string) {
-	s.world.store.Put("servers/"+s.id, []byte(fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"slots":3,"state":%q,"coldLeftMs":0,"born":%d}`, s.service, s.endpoint(), s.centre, state, s.born)))
+func (s *server) describe(draining bool) {
+	s.world.store.Describe(directory.Server{
+		ID: s.id, Service: s.service, DataCentre: s.centre, Endpoint: s.endpoint(), Slots: 3, Draining: draining, Born: s.born,
+	})
 }
 
 func (s *server) close() {
@@ -112,18 +115,18 @@
 	if p.Flags.Has(segment.Open) {
 		s.opening(p)
 		s.flows[port] = true
-		s.answer(p, flagSYN|flagACK, p.Sequence+1)
+		s.answer(p, segment.Open|segment.Acknowledge, p.Sequence+1)
 		return
 	}
 	if other := s.world.callers.at(port); other != nil && other != s {
 		s.world.broken("packet of a flow open at %s reached %s", other.id, s.id)
 	}
 	if !s.flows[port] {
-		s.answer(p, flagRST, p.Sequence)
+		s.answer(p, segment.Abort, p.Sequence)
 		return
 	}
 	if p.Length > 0 {
-		s.answer(p, flagACK, p.Sequence+uint32(p.Length))
+		s.answer(p, segment.Acknowledge, p.Sequence+uint32(p.Length))
 	}
 }
 
@@ -144,9 +147,11 @@
 }
 
 // answer sends a packet to the caller, directly as backend servers do.
-func (s *server) answer(p segment.Segment, flags byte, acknowledged uint32) {
-	packet := newPacket(segment.Flow{Caller: p.Flow.Route, Route: p.Flow.Caller}, flags, serverSequence, acknowledged, p.Mark, nil)
-	binary.BigEndian.PutUint32(packet[offSum:], signed)
+func (s *server) answer(p segment.Segment, flags segment.Flags, acknowledged uint32) {
+	packet := standin.Packet(segment.Segment{
+		Flow: segment.Flow{Caller: p.Flow.Route, Route: p.Flow.Caller}, Flags: flags,
+		Sequence: serverSequence, Acknowledged: acknowledged, Mark: p.Mark,
+	}, nil)
 	to := netip.AddrPortFrom(p.Flow.Caller.Addr(), s.world.callers.port)
 	_, _ = s.conn.WriteToUDPAddrPort(packet, to) // a datagram may be lost
 }
@@ -157,7 +162,7 @@
 	s.dark.Store(true)
 	if d > lapseAfter {
 		wait(ctx, lapseAfter)
-		s.world.store.Delete("servers/" + s.id)
+		s.world.store.Forget(s.id)
 		wait(ctx, d-lapseAfter)
 	} else {
 		wait(ctx, d)
@@ -168,7 +173,7 @@
 	s.mu.Unlock()
 	s.trouble()
 	s.dark.Store(false)
-	s.describe("ready")
+	s.describe(false)
 }
 
 // leave drains the server and ends it.
@@ -176,9 +181,9 @@
 	s.mu.Lock()
 	s.drained = time.Now()
 	s.mu.Unlock()
-	s.describe("draining")
+	s.describe(true)
 	wait(ctx, leaveAfter)
-	s.world.store.Delete("servers/" + s.id)
+	s.world.store.Forget(s.id)
 	s.trouble()
 	s.close()
 }
