Count the flows of a backend server that starts again from nothing

Cause: its counts were cleared while records of flows still named it, so that their ends made them negative; a negative count went over the wire as four billion, and other instances would have shunned the server. Found by reading, shown by TestServerBornAnewCountsFromNothing, red before. Also: a flow that is not remembered is said so by a field, not by a time of 0.

--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -26,6 +26,8 @@
 // flow is what this instance has seen of a flow.
 type flow struct {
 	key segment.Flow
+	// kept says that the record is among those remembered, so that it counts.
+	kept bool
 	// tries are the backend servers that opening packets went to, in order, and
 	// asked is when the last of them was sent, or the last request.
 	tries [maxTries]*server
@@ -65,6 +67,7 @@
 // with sign -1. A flow that opens is about to carry a request.
 func (f *flow) load(sign int) {
 	switch {
+	case !f.kept:
 	case f.at != nil:
 		f.at.view.open += sign
 		if f.waiting {
@@ -94,7 +97,7 @@
 			return nil
 		}
 		f = t.blank()
-		f.key = key
+		f.key, f.kept = key, true
 		t.byKey[key] = f
 	}
 	f.seen = now
@@ -118,6 +121,15 @@
 	t.free = append(t.free, f)
 }
 
+// leave forgets the flows that are open at a backend server or being opened there.
+func (t *flows) leave(v *server) {
+	for _, f := range t.byKey {
+		if f.at == v || f.at == nil && f.last() == v {
+			t.forget(f)
+		}
+	}
+}
+
 // sweep forgets flows that have been silent for too long.
 func (t *flows) sweep(now, idle time.Duration) {
 	if now-t.swept < sweepPeriod {
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -136,7 +136,7 @@
 	if f.at != nil {
 		// The caller uses the port of an earlier flow again.
 		f.load(-1)
-		*f = flow{key: s.Flow, seen: now}
+		*f = flow{key: s.Flow, kept: true, seen: now}
 	}
 	if v := f.last(); v != nil {
 		v.view.unanswered(now, f.asked)
@@ -158,9 +158,7 @@
 			break
 		}
 	}
-	if f.seen > 0 {
-		f.load(1)
-	}
+	f.load(1)
 }
 
 // progress is what a packet tells of the requests in its flow.
--- a/pkg/connection/forwarding/observe_test.go
+++ b/pkg/connection/forwarding/observe_test.go
@@ -254,3 +254,25 @@
 		}
 	}
 }
+
+// TestServerBornAnewCountsFromNothing has flows open at a server that starts again
+// under its identifier, and ends them afterwards.
+func TestServerBornAnewCountsFromNothing(t *testing.T) {
+	v := serverOf(feedService, near, 1)
+	d := configured().WithServer(v)
+	c := newCore(d)
+	p, _ := opened(t, c, time.Millisecond, feedRoute)
+	c.Decide(2*time.Millisecond, p.request())
+	opened(t, c, 3*time.Millisecond, feedRoute)
+	v.Born, v.Revision = 99, 2
+	c.Adopt(time.Second, d.WithServer(v))
+	c.Decide(time.Second+time.Millisecond, p.finish())
+	c.Tick(time.Minute, maxFlow)
+	q, _ := opened(t, c, time.Minute, feedRoute)
+	c.Decide(time.Minute+time.Millisecond, q.request())
+	for _, l := range c.Loads(time.Minute + time.Millisecond) {
+		if l.Open != 1 {
+			t.Errorf("%d flows open, one was opened since the start", l.Open)
+		}
+	}
+}
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -41,7 +41,11 @@
 	for _, described := range d.Servers() {
 		m := mark.Of(described.ID)
 		present[m] = true
-		c.servers.describe(now, m, described)
+		if v := c.servers.describe(now, m, described); v != nil {
+			// It started anew: its flows of before are gone.
+			c.flows.leave(v)
+			v.view = view{}
+		}
 	}
 	for m, v := range c.servers.byMark {
 		if !present[m] && !v.missing {
@@ -68,7 +72,9 @@
 	}
 }
 
-func (r *registry) describe(now time.Duration, m mark.Mark, d directory.Server) {
+// describe takes a backend server's description, and returns the server if it
+// started anew.
+func (r *registry) describe(now time.Duration, m mark.Mark, d directory.Server) (reborn *server) {
 	v, known := r.byMark[m]
 	if !known {
 		v = &server{mark: m}
@@ -77,15 +83,16 @@
 	if v.ID != "" && v.ID != d.ID {
 		// Two identifiers with one mark: the first keeps it, and the other gets
 		// no flow, which can't be told apart later.
-		return
+		return nil
 	}
 	if d.Revision != v.Revision || v.missing {
 		v.coldUntil = now + d.ColdLeft
 	}
-	if d.Born != v.Born {
-		v.view = view{}
+	if known && d.Born != v.Born {
+		reborn = v
 	}
 	v.Server, v.missing = d, false
+	return reborn
 }
 
 func (r *registry) index() {
