--- a/pkg/connection/forwarding/forwarding_test.go
+++ b/pkg/connection/forwarding/forwarding_test.go
@@ -27,7 +27,9 @@
 func TestFlowGoesToTheServiceOfItsRouteInItsDataCentre(t *testing.T) {
 	c := newCore(deployment())
 	for range 50 {
-		_, d := opened(t, c, 0, uploadRoute)
+		p, d := opened(t, c, 0, uploadRoute)
+		c.Decide(0, p.request())
+		c.Decide(0, p.acknowledge())
 		if d.Endpoint.Addr().As4()[2] != byte(len(ledgerService)) || d.Endpoint.Addr().As4()[1] != byte(len(near)) {
 			t.Fatalf("placed at %v", d.Endpoint)
 		}
--- a/pkg/process/membership/membership_test.go
+++ b/pkg/process/membership/membership_test.go
@@ -14,6 +14,8 @@
 	now   time.Duration
 	cores []*membership.Core
 	names []membership.Member
+	// places finds an instance by its endpoint.
+	places map[netip.AddrPort]int
 	// cut says whether one instance can't hear another.
 	cut func(from, to int) bool
 	// store says whether an instance reaches the store.
@@ -38,7 +40,9 @@
 			})
 		}
 	}
+	f.places = make(map[netip.AddrPort]int)
 	for i, m := range f.names {
+		f.places[m.Endpoint] = i
 		core := membership.New(m, nil, uint64(i))
 		core.Know(0, f.names)
 		core.Confirm(0)
@@ -47,15 +51,6 @@
 	return f
 }
 
-func (f *fleet) index(at netip.AddrPort) int {
-	for i, m := range f.names {
-		if m.Endpoint == at {
-			return i
-		}
-	}
-	return -1
-}
-
 // run lets time pass: followers confirm from the store, and all tell their peers.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now + d; f.now < end; f.now += period {
@@ -70,7 +65,7 @@
 			h.Revision = 1
 			for _, at := range core.Peers(fan) {
 				f.words++
-				if to := f.index(at); to >= 0 && !f.cut(i, to) {
+				if to := f.places[at]; !f.cut(i, to) {
 					f.cores[to].Hear(f.now, h, true)
 				}
 			}
