--- a/pkg/version/directory/directory.go
+++ b/pkg/version/directory/directory.go
@@ -180,27 +180,41 @@
 
 // WithServer returns d with a backend server added or described anew.
 func (d Directory) WithServer(s Server) Directory {
-	at, found := d.find(s.ID)
-	servers := slices.Clone(d.servers)
-	if found {
-		servers[at] = s
-	} else {
-		servers = slices.Insert(servers, at, s)
-	}
-	d.servers = servers
-	return d
+	return d.WithServers(map[string]*Server{s.ID: &s})
 }
 
 // WithoutServer returns d without a backend server.
 func (d Directory) WithoutServer(id string) Directory {
-	if at, found := d.find(id); found {
-		d.servers = slices.Delete(slices.Clone(d.servers), at, at+1)
+	return d.WithServers(map[string]*Server{id: nil})
+}
+
+// WithServers returns d with backend servers added or described anew, by their
+// identifiers, and without those that are nil. The time that it takes grows with
+// the servers there are, not with their product with the changes.
+func (d Directory) WithServers(changed map[string]*Server) Directory {
+	servers := make([]Server, 0, len(d.servers)+len(changed))
+	for _, s := range d.servers {
+		if _, replaced := changed[s.ID]; !replaced {
+			servers = append(servers, s)
+		}
 	}
+	for _, s := range changed {
+		if s != nil {
+			servers = append(servers, *s)
+		}
+	}
+	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	d.servers = servers
 	return d
 }
 
-func (d Directory) find(id string) (int, bool) {
-	return slices.BinarySearchFunc(d.servers, id, func(s Server, id string) int { return strings.Compare(s.ID, id) })
+// Server returns a backend server by its identifier.
+func (d Directory) Server(id string) (Server, bool) {
+	at, found := slices.BinarySearchFunc(d.servers, id, func(s Server, id string) int { return strings.Compare(s.ID, id) })
+	if !found {
+		return Server{}, false
+	}
+	return d.servers[at], true
 }
 
 // WithEvacuated returns d with a data centre taken out or brought back.
@@ -229,16 +243,21 @@
 	return i, ok
 }
 
-// WithInstance returns d with an instance registered.
-func (d Directory) WithInstance(i Instance) Directory {
+// WithInstances returns d with instances registered, by their names, and without
+// those that are nil.
+func (d Directory) WithInstances(changed map[string]*Instance) Directory {
 	d.instances = maps.Clone(d.instances)
-	d.instances[i.Name] = i
+	for name, i := range changed {
+		if i == nil {
+			delete(d.instances, name)
+		} else {
+			d.instances[name] = *i
+		}
+	}
 	return d
 }
 
-// WithoutInstance returns d without an instance.
-func (d Directory) WithoutInstance(name string) Directory {
-	d.instances = maps.Clone(d.instances)
-	delete(d.instances, name)
-	return d
+// WithInstance returns d with an instance registered.
+func (d Directory) WithInstance(i Instance) Directory {
+	return d.WithInstances(map[string]*Instance{i.Name: &i})
 }
