Order candidates by identifier, and hold memory to the settings

Equal inputs brought different choices, since servers were listed in the order of a map. A limit at 75 % of the allowed memory makes the collector work harder before the platform ends the process.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -41,6 +41,10 @@
 // The live heap is about 1 MB, and memory is dearer than the time to collect it.
 const heapGrowth = 30
 
+// memoryShare is the percentage of the allowed memory from which on garbage is
+// collected ever harder; the rest is for stacks and what the kernel holds.
+const memoryShare = 75
+
 func enter(ctx context.Context, c *cli.Command, out io.Writer) error {
 	if c.Args().Present() {
 		return errors.Wrapf(tree.ErrMisused, "entry takes no argument %q", c.Args().First())
@@ -55,6 +59,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(s.MemoryBytes / 100 * memoryShare)
 	store, closeStore := platform.NewStore(s.Store.Endpoint)
 	defer closeStore()
 	levels, err := logs.ParseLevels(c.String("log"))
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -145,7 +145,7 @@
 
 const (
 	// freshFor is how old the last confirmation of the directory may be for what
-	// it lacks to count: followers confirm it each 0.7 s.
+	// it lacks to count: the follower confirms it each 0.8 s.
 	freshFor = 1500 * time.Millisecond
 	// outageAfter is the age of the last confirmation from which on the platform
 	// counts as having been away.
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -1,6 +1,8 @@
 package forwarding
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
@@ -95,6 +97,8 @@
 	return reborn
 }
 
+// index lists the servers of each service by identifier, so that equal inputs
+// bring equal decisions.
 func (r *registry) index() {
 	clear(r.byService)
 	for _, v := range r.byMark {
@@ -102,6 +106,9 @@
 			r.byService[v.Service] = append(r.byService[v.Service], v)
 		}
 	}
+	for _, servers := range r.byService {
+		slices.SortFunc(servers, func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
+	}
 }
 
 // expire forgets backend servers that left longer ago than any flow lasts.
--- a/pkg/process/entry/changes.go
+++ b/pkg/process/entry/changes.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
-
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -22,7 +22,8 @@
 	receiver    *receiver
 	now         func() time.Duration
 	directories chan directory.Directory
-	reset       []byte
+	// reset is the buffer for resets.
+	reset []byte
 	// last is when the latest packet came, in nanoseconds since the start.
 	last atomic.Int64
 	// confirmed is when the directory was known to be the newest, likewise.
@@ -30,7 +31,8 @@
 	// maxFlow is how long a flow may last, in nanoseconds.
 	maxFlow atomic.Int64
 	reports chan peerLoads
-	shared  atomic.Pointer[[]forwarding.Load]
+	// shared are the core's loads as of the last tick, for the exchange.
+	shared atomic.Pointer[[]forwarding.Load]
 }
 
 // peerLoads are the loads that another instance reported.
@@ -44,7 +46,10 @@
 const ringReports = 32
 
 func newDecider(o Options, c *forwarding.Core, r *receiver, m *metrics, now func() time.Duration) *decider {
-	d := &decider{options: o, core: c, receiver: r, now: now, witness: &witness{log: o.Logger, metrics: m}, directories: make(chan directory.Directory, 1), reports: make(chan peerLoads, ringReports)}
+	d := &decider{
+		options: o, core: c, receiver: r, now: now, witness: &witness{log: o.Logger, metrics: m},
+		directories: make(chan directory.Directory, 1), reports: make(chan peerLoads, ringReports),
+	}
 	d.maxFlow.Store(int64(o.MaxFlow))
 	return d
 }
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -16,7 +16,7 @@
 
 const (
 	// exchangePeriod is the time between two words to other instances. A copy
-	// counts as stale after 1.25 s, which leaves room for two lost words.
+	// counts as stale after 1.7 s, which leaves room for two lost words.
 	exchangePeriod = 250 * time.Millisecond
 	// controlBytes is what an instance may spend on telling others, in bytes a
 	// second: the design's figure for all control.
--- a/pkg/process/entry/registrar.go
+++ b/pkg/process/entry/registrar.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
-
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
