Blame an instance's restart only for what it can have harmed

weirctl why put a request down to a restart 4.2 s after its flow's last packet. Restarts and cuts count for 2.5 s now; the test was red before.

--- a/pkg/process/explanation/cause.go
+++ b/pkg/process/explanation/cause.go
@@ -16,6 +16,10 @@
 	"Unsynchronised": "the instance had no configuration yet",
 }
 
+// instanceWithin is how long after the flow's last packet what happened to its
+// instance can have harmed it: callers send again after 1.6 s at the latest.
+const instanceWithin = 2500 * time.Millisecond
+
 // cause says in one sentence what the lines point to, the surest sign first.
 func cause(own, all []Line) string {
 	if said := decided(own); said != "" {
@@ -81,7 +85,7 @@
 // ofInstance returns what the instance went through beside the flow.
 func ofInstance(last Line, all []Line) string {
 	for _, l := range all {
-		if l.Instance != last.Instance || l.At.Before(last.At) {
+		if l.Instance != last.Instance || l.At.Before(last.At) || l.At.After(last.At.Add(instanceWithin)) {
 			continue
 		}
 		after := l.At.Sub(last.At).Round(time.Millisecond)
--- a/pkg/process/explanation/explanation_test.go
+++ b/pkg/process/explanation/explanation_test.go
@@ -75,3 +75,22 @@
 		t.Errorf("%d lines: %s", len(story.Lines), d)
 	}
 }
+
+// TestRestartLongAfterARequestIsNotItsCause has an instance start again 4 s after
+// the last packet of a flow, which its caller had given up by then.
+func TestRestartLongAfterARequestIsNotItsCause(t *testing.T) {
+	log := explanation.NewLog()
+	lines := `{"time":"2026-06-10T08:00:00Z","msg":"Request: forwarded.","Instance":"entry-1","RequestId":"1","Caller":"a:1","Route":"r:1","Server":"i-1"}
+{"time":"2026-06-10T08:00:04.2Z","msg":"Instance: started.","Instance":"entry-1"}
+`
+	if err := log.Read("entry-1.log", strings.NewReader(lines)); err != nil {
+		t.Fatal(err)
+	}
+	story, err := log.Explain("1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(story.Cause, "forwarded to backend server i-1") {
+		t.Errorf("cause %q", story.Cause)
+	}
+}
