--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -10,8 +10,8 @@
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
-// tickPeriod is how often the core looks at what time alone changes.
-const tickPeriod = 100 * time.Millisecond
+// TickPeriod is how often Tick looks at what time alone changes.
+const TickPeriod = 100 * time.Millisecond
 
 // decider owns the forwarding core and sends packets on.
 type decider struct {
@@ -19,8 +19,7 @@
 	core        *forwarding.Core
 	witness     *witness
 	version     directory.Version
-	receiver    *receiver
-	now         func() time.Duration
+	host        Host
 	directories chan directory.Directory
 	// reset is the buffer for resets.
 	reset []byte
@@ -45,9 +44,9 @@
 // ringReports is how many reports of other instances wait for the decider.
 const ringReports = 32
 
-func newDecider(o Options, c *forwarding.Core, r *receiver, m *metrics, now func() time.Duration) *decider {
+func newDecider(o Options, c *forwarding.Core, h Host, m *metrics) *decider {
 	d := &decider{
-		options: o, core: c, receiver: r, now: now, witness: &witness{log: o.Logger, metrics: m},
+		options: o, core: c, host: h, witness: &witness{log: o.Logger, metrics: m},
 		directories: make(chan directory.Directory, 1), reports: make(chan peerLoads, ringReports),
 	}
 	d.maxFlow.Store(int64(o.MaxFlow))
@@ -83,37 +82,55 @@
 	return nil
 }
 
-// run decides until the context ends.
-func (d *decider) run(ctx context.Context) {
-	ticks := time.NewTicker(tickPeriod)
+// run decides about the receiver's packets until the context ends.
+func (d *decider) run(ctx context.Context, r *receiver) {
+	ticks := time.NewTicker(TickPeriod)
 	defer ticks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case b, ok := <-d.receiver.full:
+		case b, ok := <-r.full:
 			if !ok {
 				return
 			}
 			d.decide(b)
-			d.receiver.free <- b
+			r.free <- b
 		case next := <-d.directories:
-			d.core.Confirm(d.now(), time.Duration(d.confirmed.Load()))
-			d.core.Adopt(d.now(), next)
-			d.version = next.Version()
-			if next.Version() > 0 {
-				d.receiver.start()
-			}
+			d.use(next)
 		case <-ticks.C:
 			d.tick()
 		case p := <-d.reports:
-			d.core.Hear(d.now(), p.name, p.loads, p.alive)
+			d.core.Hear(d.host.Now(), p.name, p.loads, p.alive)
+		}
+	}
+}
+
+// settle takes what waits from other duties.
+func (d *decider) settle() {
+	for {
+		select {
+		case next := <-d.directories:
+			d.use(next)
+		case p := <-d.reports:
+			d.core.Hear(d.host.Now(), p.name, p.loads, p.alive)
+		default:
+			return
 		}
 	}
 }
 
+func (d *decider) use(next directory.Directory) {
+	d.core.Confirm(d.host.Now(), time.Duration(d.confirmed.Load()))
+	d.core.Adopt(d.host.Now(), next)
+	d.version = next.Version()
+	if next.Version() > 0 {
+		d.host.Accept()
+	}
+}
+
 func (d *decider) tick() {
-	now := d.now()
+	now := d.host.Now()
 	d.core.Tick(now, time.Duration(d.maxFlow.Load()))
 	d.witness.believed(d.core.Events())
 	d.witness.tell(now)
@@ -121,10 +138,16 @@
 	d.shared.Store(&loads)
 }
 
-func (d *decider) decide(b *batch) {
-	now := d.now()
+// arrived notes that packets came, and returns when.
+func (d *decider) arrived() time.Duration {
+	now := d.host.Now()
 	d.last.Store(int64(now))
 	d.core.Confirm(now, time.Duration(d.confirmed.Load()))
+	return now
+}
+
+func (d *decider) decide(b *batch) {
+	now := d.arrived()
 	headroom := d.options.Format.Headroom()
 	for i := range b.count {
 		d.packet(now, b.buffers[i][:headroom+b.messages[i].N])
@@ -150,15 +173,9 @@
 	switch decision.Verdict {
 	case forwarding.Forward:
 		d.options.Format.Address(datagram, decision.Number, uint32(decision.Mark))
-		d.write(datagram, decision.Endpoint)
+		d.host.SendPacket(datagram, decision.Endpoint)
 	case forwarding.Reset:
 		d.reset = d.options.Format.AppendReset(d.reset[:0], s)
-		d.write(d.reset, netip.AddrPortFrom(s.Flow.Caller.Addr(), d.options.Packets.Port()))
-	}
-}
-
-func (d *decider) write(b []byte, to netip.AddrPort) {
-	if _, err := d.receiver.conn.WriteToUDPAddrPort(b, to); err != nil {
-		d.options.Logger.Debug("Packets: one can't be sent.", "To", to, "Error", err)
+		d.host.SendPacket(d.reset, netip.AddrPortFrom(s.Flow.Caller.Addr(), d.options.Packets.Port()))
 	}
 }
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -21,7 +21,6 @@
 	"sync"
 	"time"
 
-	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
@@ -96,10 +95,7 @@
 // Instance is a running instance.
 type Instance struct {
 	options Options
-	began   time.Time
-	decider *decider
-	state   *state
-	gate    *gate
+	duties  *Duties
 	cancel  context.CancelFunc
 	closers []func()
 	running sync.WaitGroup
@@ -108,7 +104,7 @@
 // New starts an instance and returns a function that ends it at once.
 func New(o Options) (*Instance, func(), error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &Instance{options: o, began: time.Now(), cancel: cancel, gate: &gate{}}
+	i := &Instance{options: o, cancel: cancel}
 	if err := i.open(ctx); err != nil {
 		i.close()
 		return nil, nil, err
@@ -118,36 +114,21 @@
 
 // open opens the sockets and starts the duties.
 func (i *Instance) open(ctx context.Context) error {
-	o := i.options
-	receiver, err := newReceiver(o)
+	host, err := newSockets(i.options)
 	if err != nil {
 		return err
 	}
-	i.closers = append(i.closers, receiver.close)
-	core := forwarding.New(forwarding.Options{
-		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
-	})
-	counts := newMetrics(o.Store.CallCounts, func() time.Duration { return i.now() - time.Duration(i.decider.confirmed.Load()) })
-	i.decider = newDecider(o, core, receiver, counts, i.now)
-	i.state = newState(o, i.decider, i.gate, i.now)
-	s := i.state
-	fetcher := newFetcher(o, s)
-	exchange, err := newExchange(o, s, i.decider, fetcher)
+	i.closers = append(i.closers, host.close)
+	d, err := NewDuties(i.options, host)
 	if err != nil {
 		return err
 	}
-	fetcher.pass = exchange.pass
-	i.closers = append(i.closers, exchange.close)
-	follower := newFollower(o, s, exchange.push, i.now)
-	registrar, err := newRegistrar(o, s, i.now)
-	if err != nil {
-		return err
-	}
-	if err := i.serve(s); err != nil {
+	i.duties = d
+	if err := i.serve(d.state); err != nil {
 		return err
 	}
-	i.start(receiver.run, exchange.run)
-	for _, duty := range []func(context.Context){i.decider.run, follower.run, exchange.loop, fetcher.run, registrar.run} {
+	i.start(host.receiver.run, func() { host.run(d.exchange.take) }, func() { d.decider.run(ctx, host.receiver) })
+	for _, duty := range []func(context.Context){d.follower.run, d.exchange.loop, d.fetcher.run, d.registrar.run} {
 		i.start(func() { duty(ctx) })
 	}
 	return nil
@@ -160,7 +141,7 @@
 		return err
 	}
 	i.closers = append(i.closers, copies.close)
-	ready, err := newReadyServer(i.options, i.gate)
+	ready, err := newReadyServer(i.options, i.duties.gate)
 	if err != nil {
 		return err
 	}
@@ -169,7 +150,7 @@
 	if !i.options.Metrics.IsValid() {
 		return nil
 	}
-	served, err := newMetricsServer(i.options, i.options.Metrics, i.decider.witness.metrics)
+	served, err := newMetricsServer(i.options, i.options.Metrics, i.duties.decider.witness.metrics)
 	if err != nil {
 		return err
 	}
@@ -180,8 +161,8 @@
 
 // Adjust takes settings that may change while the instance runs.
 func (i *Instance) Adjust(seeds []netip.AddrPort, maxFlow time.Duration) {
-	i.state.seed(seeds)
-	i.decider.maxFlow.Store(int64(maxFlow))
+	i.duties.state.seed(seeds)
+	i.duties.decider.maxFlow.Store(int64(maxFlow))
 }
 
 // close ends all duties and returns once they have ended.
@@ -193,9 +174,6 @@
 	i.running.Wait()
 }
 
-// now is the time since the instance began, by a clock that never steps.
-func (i *Instance) now() time.Duration { return time.Since(i.began) }
-
 func (i *Instance) start(duties ...func()) {
 	for _, duty := range duties {
 		i.running.Go(duty)
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -3,21 +3,18 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 	wire "github.com/tanagerweir/tanagerweir/service/entry"
 )
 
 const (
-	// exchangePeriod is the time between two words to other instances. A copy
+	// ExchangePeriod is the time between two words to other instances. A copy
 	// counts as stale after 1.7 s, which leaves room for two lost words.
-	exchangePeriod = 250 * time.Millisecond
+	ExchangePeriod = 250 * time.Millisecond
 	// controlBytes is what an instance may spend on telling others, in bytes a
 	// second: the design's figure for all control.
 	controlBytes = 3000
@@ -31,45 +28,19 @@
 
 // exchange tells other instances what this one knows, and listens to them.
 type exchange struct {
-	conn    *net.UDPConn
+	host    Host
 	state   *state
 	decider *decider
 	fetcher *fetcher
 	log     *slog.Logger
 	name    string
 	centre  string
-	closed  atomic.Bool
 	// told is the revision that other instances were last told of.
 	told atomic.Uint64
 }
 
-func newExchange(o Options, s *state, d *decider, f *fetcher) (*exchange, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Peers))
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for instances")
-	}
-	return &exchange{conn: conn, state: s, decider: d, fetcher: f, log: o.Logger, name: o.Name, centre: o.DataCentre}, nil
-}
-
-func (e *exchange) close() {
-	e.closed.Store(true)
-	_ = e.conn.Close() // nothing is left to write
-}
-
-// run takes words of other instances until the socket is closed.
-func (e *exchange) run() {
-	buffer := make([]byte, 1<<16)
-	for {
-		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
-		if e.closed.Load() {
-			return
-		}
-		if err != nil {
-			e.log.Debug("Exchange: a datagram can't be read.", "Error", err)
-			continue
-		}
-		e.take(buffer[:n], from)
-	}
+func newExchange(o Options, s *state, d *decider, f *fetcher, h Host) *exchange {
+	return &exchange{host: h, state: s, decider: d, fetcher: f, log: o.Logger, name: o.Name, centre: o.DataCentre}
 }
 
 func (e *exchange) take(datagram []byte, from netip.AddrPort) {
@@ -96,7 +67,7 @@
 
 // loop tells some instances in each period.
 func (e *exchange) loop(ctx context.Context) {
-	ticks := time.NewTicker(exchangePeriod)
+	ticks := time.NewTicker(ExchangePeriod)
 	defer ticks.Stop()
 	for {
 		e.tell()
@@ -119,7 +90,7 @@
 	if !ok {
 		return
 	}
-	limit := int(controlBytes * exchangePeriod.Seconds() / float64(len(datagram)))
+	limit := int(controlBytes * ExchangePeriod.Seconds() / float64(len(datagram)))
 	e.write(datagram, e.state.peers(max(limit, 1)))
 }
 
@@ -170,8 +141,6 @@
 
 func (e *exchange) write(datagram []byte, to []netip.AddrPort) {
 	for _, at := range to {
-		if _, err := e.conn.WriteToUDPAddrPort(datagram, at); err != nil && !e.closed.Load() {
-			e.log.Debug("Exchange: a word can't be sent.", "To", at, "Error", err)
-		}
+		e.host.SendWord(datagram, at)
 	}
 }
--- a/pkg/process/entry/fetcher.go
+++ b/pkg/process/entry/fetcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -14,7 +13,6 @@
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/gzip"
 
-	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 	wire "github.com/tanagerweir/tanagerweir/service/entry"
 )
 
@@ -30,10 +28,10 @@
 
 // fetcher brings the copy up to that of another instance.
 type fetcher struct {
-	state  *state
-	log    *slog.Logger
-	client *http.Client
-	asked  chan source
+	state *state
+	log   *slog.Logger
+	host  Host
+	asked chan source
 	// pass tells the data centre what came from another one.
 	pass func()
 }
@@ -45,10 +43,8 @@
 	away bool
 }
 
-func newFetcher(o Options, s *state) *fetcher {
-	// Other instances come and go, so no connection is kept.
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	return &fetcher{state: s, log: o.Logger, client: &http.Client{Transport: t}, asked: make(chan source, 1)}
+func newFetcher(o Options, s *state, h Host) *fetcher {
+	return &fetcher{state: s, log: o.Logger, host: h, asked: make(chan source, 1)}
 }
 
 // ask wants changes from an instance, unless some are being fetched already.
@@ -72,10 +68,10 @@
 }
 
 func (f *fetcher) bring(ctx context.Context, from source) {
-	ctx, cancel := context.WithTimeout(ctx, fetchDeadline)
+	ctx, cancel := f.host.Deadline(ctx, fetchDeadline)
 	defer cancel()
 	before := f.state.revision()
-	b, err := f.fetch(ctx, from.at, before)
+	b, err := f.host.Fetch(ctx, from.at, before)
 	if err != nil {
 		f.log.Info("Exchange: changes can't be fetched.", "From", from.at, "Error", err)
 		return
@@ -89,35 +85,6 @@
 	}
 }
 
-func (f *fetcher) fetch(ctx context.Context, from netip.AddrPort, after uint64) (_ replica.Batch, err error) {
-	url := fmt.Sprintf("http://%s%s?after=%d", from, changesPath, after)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return replica.Batch{}, errors.Wrap(err, "build request")
-	}
-	response, err := f.client.Do(request)
-	if err != nil {
-		return replica.Batch{}, errors.Wrap(err, "ask instance")
-	}
-	defer func() {
-		if closing := response.Body.Close(); err == nil && closing != nil {
-			err = errors.Wrap(closing, "close answer")
-		}
-	}()
-	if response.StatusCode != http.StatusOK {
-		return replica.Batch{}, errors.Errorf("instance answered with status %d", response.StatusCode)
-	}
-	unpacked, err := gzip.NewReader(response.Body)
-	if err != nil {
-		return replica.Batch{}, errors.Wrap(err, "unpack answer")
-	}
-	body, err := io.ReadAll(io.LimitReader(unpacked, fetchBytes))
-	if err != nil {
-		return replica.Batch{}, errors.Wrap(err, "read answer")
-	}
-	return wire.DecodeBatch(body)
-}
-
 // copyServer serves the instance's copy to others.
 type copyServer struct {
 	state *state
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -37,7 +37,7 @@
 	push   func()
 	gone   func(error) bool
 	log    *slog.Logger
-	now    func() time.Duration
+	host   Host
 	random *rand.Rand
 	// failed counts the calls that failed in a row.
 	failed int
@@ -45,9 +45,9 @@
 	whole bool
 }
 
-func newFollower(o Options, s *state, push func(), now func() time.Duration) *follower {
+func newFollower(o Options, s *state, push func(), h Host) *follower {
 	return &follower{
-		store: o.Store, state: s, push: push, gone: o.HistoryGone, log: o.Logger, now: now,
+		store: o.Store, state: s, push: push, gone: o.HistoryGone, log: o.Logger, host: h,
 		random: rand.New(rand.NewPCG(o.Seed, uint64(len(o.Name)))), whole: true,
 	}
 }
@@ -57,28 +57,19 @@
 	for ctx.Err() == nil {
 		if f.state.revision() > 0 && !f.state.follows() {
 			f.failed, f.whole = 0, false
-			pause(ctx, idlePoll)
+			f.host.Pause(ctx, idlePoll)
 			continue
 		}
 		if err := f.call(ctx); err != nil && ctx.Err() == nil {
 			f.recover(err)
-			pause(ctx, f.backoff())
+			f.host.Pause(ctx, f.backoff())
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // call makes one call and takes its answer.
 func (f *follower) call(ctx context.Context) error {
-	began := f.now()
+	began := f.host.Now()
 	b, err := f.ask(ctx)
 	if err != nil {
 		return err
@@ -94,18 +85,18 @@
 	}
 	if !b.Whole && len(b.Changes) == 0 {
 		// The store answered when the wait was over, not when it began.
-		began = min(began+watchWait, f.now())
+		began = min(began+watchWait, f.host.Now())
 	}
 	f.state.confirm(began)
 	if b.Revision > before {
 		f.push()
-		pause(ctx, gatherFor)
+		f.host.Pause(ctx, gatherFor)
 	}
 	return nil
 }
 
 func (f *follower) ask(ctx context.Context) (replica.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callSlack)
+	ctx, cancel := f.host.Deadline(ctx, watchWait+callSlack)
 	defer cancel()
 	if f.whole || f.state.revision() == 0 {
 		return f.store.ReadAll(ctx)
--- a/pkg/process/entry/registrar.go
+++ b/pkg/process/entry/registrar.go
@@ -34,7 +34,7 @@
 	value  []byte
 	log    *slog.Logger
 	random *rand.Rand
-	now    func() time.Duration
+	host   Host
 
 	lease   uint64
 	renewed time.Duration
@@ -42,14 +42,14 @@
 	seen time.Duration
 }
 
-func newRegistrar(o Options, s *state, now func() time.Duration) (*registrar, error) {
+func newRegistrar(o Options, s *state, h Host) (*registrar, error) {
 	self := directory.Instance{Name: o.Name, DataCentre: o.DataCentre, Endpoint: o.Peers}
 	key, value, err := o.EncodeInstance(self)
 	if err != nil {
 		return nil, err
 	}
 	return &registrar{
-		store: o.Store, state: s, self: self, key: key, value: value, log: o.Logger, now: now,
+		store: o.Store, state: s, self: self, key: key, value: value, log: o.Logger, host: h,
 		random: rand.New(rand.NewPCG(o.Seed, 1)), seen: -missingFor,
 	}, nil
 }
@@ -59,27 +59,27 @@
 func (r *registrar) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		// Drawn, so that instances that start together don't write in step.
-		pause(ctx, registerPoll/2+time.Duration(r.random.Int64N(int64(registerPoll))))
+		r.host.Pause(ctx, registerPoll/2+time.Duration(r.random.Int64N(int64(registerPoll))))
 		if r.state.revision() == 0 {
 			continue
 		}
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
 			r.log.WarnContext(logs.Always(), "Registrar: the instance isn't registered.", "Error", err)
-			pause(ctx, time.Duration(r.random.Int64N(int64(missingFor))))
+			r.host.Pause(ctx, time.Duration(r.random.Int64N(int64(missingFor))))
 		}
 	}
 }
 
 func (r *registrar) step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, registerDeadline)
+	ctx, cancel := r.host.Deadline(ctx, registerDeadline)
 	defer cancel()
 	if r.state.registered(r.self) {
-		r.seen = r.now()
+		r.seen = r.host.Now()
 	}
 	switch {
-	case r.now()-r.seen >= missingFor:
+	case r.host.Now()-r.seen >= missingFor:
 		return r.register(ctx)
-	case r.lease != 0 && r.now()-r.renewed >= renewEvery:
+	case r.lease != 0 && r.host.Now()-r.renewed >= renewEvery:
 		return r.renew(ctx)
 	}
 	return nil
@@ -93,7 +93,7 @@
 	if err := r.store.Put(ctx, r.key, r.value, lease); err != nil {
 		return err
 	}
-	r.lease, r.renewed, r.seen = lease, r.now(), r.now()
+	r.lease, r.renewed, r.seen = lease, r.host.Now(), r.host.Now()
 	r.log.InfoContext(logs.Always(), "Registrar: registered.", "Lease", lease)
 	return nil
 }
@@ -103,6 +103,6 @@
 		r.lease = 0
 		return err
 	}
-	r.renewed = r.now()
+	r.renewed = r.host.Now()
 	return nil
 }
--- a/pkg/process/entry/stop.go
+++ b/pkg/process/entry/stop.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
@@ -22,18 +23,20 @@
 
 // Stop asks routers to turn away and returns when no more packets come. Flows
 // go on at other instances, to which their marks say all.
-func (i *Instance) Stop(grace time.Duration) {
-	i.gate.close()
-	began := i.now()
-	i.options.Logger.InfoContext(logs.Always(), "Instance: stopping, packets are still forwarded.", "Grace", grace)
-	poll := time.NewTicker(stopPoll)
-	defer poll.Stop()
-	for range poll.C {
-		spent := i.now() - began
-		quiet := i.now() - time.Duration(i.decider.last.Load())
+func (i *Instance) Stop(grace time.Duration) { i.duties.Stop(context.Background(), grace) }
+
+// Stop is Instance.Stop for duties.
+func (d *Duties) Stop(ctx context.Context, grace time.Duration) {
+	d.gate.close()
+	began := d.host.Now()
+	d.log.InfoContext(logs.Always(), "Instance: stopping, packets are still forwarded.", "Grace", grace)
+	for ctx.Err() == nil {
+		d.host.Pause(ctx, stopPoll)
+		spent := d.host.Now() - began
+		quiet := d.host.Now() - time.Duration(d.decider.last.Load())
 		if spent >= turnAway && quiet >= quietFor || spent >= grace-stopReserve {
 			break
 		}
 	}
-	i.options.Logger.InfoContext(logs.Always(), "Instance: stopped.", "After", i.now()-began)
+	d.log.InfoContext(logs.Always(), "Instance: stopped.", "After", d.host.Now()-began)
 }
