--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -116,6 +116,8 @@
 	ColdSlack  float64
 	// Seed decides between equally good backend servers.
 	Seed uint64
+	// Policy ranks backend servers, placement.Score where it is nil.
+	Policy placement.Policy
 }
 
 // Core decides for the packets that one instance gets.
@@ -140,6 +142,9 @@
 
 // New returns a Core that knows nothing yet.
 func New(o Options) *Core {
+	if o.Policy == nil {
+		o.Policy = placement.Score
+	}
 	return &Core{options: o, servers: newRegistry(), flows: newFlows(), draws: o.Seed, reports: make(map[string]report), scale: 1}
 }
 
@@ -285,11 +290,11 @@
 func (c *Core) Tick(now, maxFlow time.Duration) {
 	c.servers.expire(now, maxFlow)
 	c.flows.sweep(now, c.directory.IdleTimeout())
-	for _, v := range c.servers.byMark {
+	for _, v := range c.servers.known {
 		v.view.average += averageShare * (float64(v.view.running) - v.view.average)
 	}
 	c.combine(now)
-	for _, v := range c.servers.byMark {
+	for _, v := range c.servers.known {
 		c.judge(now, v)
 	}
 }
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -73,11 +73,13 @@
 
 // combine adds up the reports that still count.
 func (c *Core) combine(now time.Duration) {
-	for _, v := range c.servers.byMark {
+	for _, v := range c.servers.known {
 		v.view.others = others{}
 	}
 	heard := 0
-	for name, r := range c.reports {
+	// In one order, since sums of fractions depend on it.
+	for _, name := range slices.Sorted(maps.Keys(c.reports)) {
+		r := c.reports[name]
 		if now-r.at > reportFor {
 			delete(c.reports, name)
 			continue
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -21,7 +21,7 @@
 		func(v *server) bool { return c.warm(now, v) },
 		func(v *server) bool { return c.usable(now, v) && c.bears(now, v) },
 	} {
-		best := placement.NewBest(c.draws)
+		best := placement.NewBest(c.draws, c.options.Policy)
 		for i, v := range servers {
 			if accept(v) {
 				best.Offer(i, c.candidate(now, v))
@@ -78,6 +78,7 @@
 
 func (c *Core) candidate(now time.Duration, v *server) placement.Candidate {
 	return placement.Candidate{
+		Server:  v.ID,
 		Slots:   v.Slots,
 		Running: float64(v.view.running) + c.scale*v.view.others.running,
 		Open:    float64(v.view.open) + c.scale*float64(v.view.others.open),
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -30,6 +30,9 @@
 type registry struct {
 	byMark    map[mark.Mark]*server
 	byService map[string][]*server
+	// known are all of them by identifier, so that equal inputs bring equal
+	// decisions and events in one order.
+	known []*server
 }
 
 func newRegistry() registry {
@@ -97,25 +100,30 @@
 	return reborn
 }
 
-// index lists the servers of each service by identifier, so that equal inputs
-// bring equal decisions.
+// index lists the servers, and those of each service that may get flows.
 func (r *registry) index() {
 	clear(r.byService)
+	r.known = r.known[:0]
 	for _, v := range r.byMark {
+		r.known = append(r.known, v)
+	}
+	slices.SortFunc(r.known, func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
+	for _, v := range r.known {
 		if !v.missing || v.lapsed > v.gone {
 			r.byService[v.Service] = append(r.byService[v.Service], v)
 		}
 	}
-	for _, servers := range r.byService {
-		slices.SortFunc(servers, func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
-	}
 }
 
 // expire forgets backend servers that left longer ago than any flow lasts.
 func (r *registry) expire(now, maxFlow time.Duration) {
+	before := len(r.byMark)
 	for m, v := range r.byMark {
 		if v.missing && now-v.gone > maxFlow {
 			delete(r.byMark, m)
 		}
 	}
+	if len(r.byMark) < before {
+		r.index()
+	}
 }
--- a/pkg/connection/placement/placement.go
+++ b/pkg/connection/placement/placement.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	best := placement.NewBest(draw)
+//	best := placement.NewBest(draw, placement.Score)
 //	for i, s := range servers {
 //		best.Offer(i, placement.Candidate{Slots: s.Slots, Running: s.running, Local: s.local})
 //	}
@@ -32,6 +32,8 @@
 
 // Candidate is what is known of a backend server.
 type Candidate struct {
+	// Server is its identifier.
+	Server string
 	// Slots is how many requests it runs at once, at least 1.
 	Slots int
 	// Running is the estimated number of requests that run or wait there.
@@ -44,7 +46,11 @@
 	Penalty float64
 }
 
-// Score returns the load that a new flow would find, in requests a slot.
+// Policy returns a candidate's score; the lowest is best.
+type Policy func(Candidate) float64
+
+// Score returns the load that a new flow would find, in requests a slot. It is the
+// product's policy.
 func Score(c Candidate) float64 {
 	score := (c.Running+openLoad*c.Open)/float64(max(c.Slots, 1)) + c.Penalty
 	if !c.Local {
@@ -55,18 +61,21 @@
 
 // Best finds the candidate with the lowest score.
 type Best struct {
-	draw  uint64
-	index int
-	score float64
+	policy Policy
+	draw   uint64
+	index  int
+	score  float64
 }
 
 // NewBest returns an empty search. The draw decides between equal candidates.
-func NewBest(draw uint64) Best { return Best{draw: draw, index: -1, score: math.Inf(1)} }
+func NewBest(draw uint64, p Policy) Best {
+	return Best{policy: p, draw: draw, index: -1, score: math.Inf(1)}
+}
 
 // Offer takes a candidate with its index.
 func (b *Best) Offer(index int, c Candidate) {
 	b.draw = b.draw*6364136223846793005 + 1442695040888963407
-	score := Score(c) + drawLoad*float64(b.draw>>40)/(1<<24)
+	score := b.policy(c) + drawLoad*float64(b.draw>>40)/(1<<24)
 	if score < b.score {
 		b.index, b.score = index, score
 	}
--- a/pkg/connection/placement/placement_test.go
+++ b/pkg/connection/placement/placement_test.go
@@ -8,7 +8,7 @@
 )
 
 func choose(draw uint64, candidates ...placement.Candidate) (int, bool) {
-	best := placement.NewBest(draw)
+	best := placement.NewBest(draw, placement.Score)
 	for i, c := range candidates {
 		best.Offer(i, c)
 	}
--- a/pkg/process/entry/duties.go
+++ b/pkg/process/entry/duties.go
@@ -48,7 +48,7 @@
 func NewDuties(o Options, h Host) (*Duties, error) {
 	d := &Duties{host: h, log: o.Logger, gate: &gate{}}
 	core := forwarding.New(forwarding.Options{
-		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
+		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, Policy: o.Policy, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
 	})
 	counts := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(d.decider.confirmed.Load()) })
 	d.decider = newDecider(o, core, h, counts)
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
@@ -90,6 +91,8 @@
 	ColdFactor, ColdSlack float64
 	Logger                *slog.Logger
 	Seed                  uint64
+	// Policy ranks backend servers for new flows, the product's own where it is nil.
+	Policy placement.Policy
 }
 
 // Instance is a running instance.
