--- a/cmd/weirctl/cmds/commands.go
+++ b/cmd/weirctl/cmds/commands.go
@@ -138,6 +138,7 @@
 			replayCommand(),
 			checkCommand(),
 			soakCommand(),
+			emulateCommand(),
 		},
 	})
 }
--- /dev/null
+++ b/cmd/weirctl/cmds/emulate.go
@@ -0,0 +1,190 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
+	"github.com/tanagerweir/tanagerweir/pkg/emulation"
+	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
+	"github.com/tanagerweir/tanagerweir/platform/emulated"
+)
+
+func emulateCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "emulate",
+		Usage:     "play a day of a deployment in virtual time, and check the promises",
+		ArgsUsage: "DAY.ini",
+		UsageText: "weirctl emulate examples/emulation/dakar.ini\nweirctl emulate --seed 7 --runs 20 --drawn examples/emulation/dakar.ini\nweirctl emulate --design Product --design RoundRobin examples/emulation/dakar.ini",
+		Description: "Exit codes: 0 all promises held, 1 one was broken or a file can't be read, 2 wrong arguments or settings. " +
+			"A run with a broken promise prints the command that repeats it.",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
+			&cli.Uint64Flag{Name: "runs", Value: 1, Usage: "how many seeds, one after the other"},
+			&cli.StringSliceFlag{Name: "design", Value: []string{string(emulation.Product)}, Usage: "way to place flows; again for several side by side: " + designNames()},
+			&cli.BoolFlag{Name: "drawn", Usage: "draw each run's faults from its seed, in place of the day's"},
+			&cli.BoolFlag{Name: "shrink", Usage: "leave out faults as long as a promise stays broken, and print what is left"},
+			&cli.StringFlag{Name: "html", Usage: "file that gets a report with plots"},
+			&cli.StringFlag{Name: "log", Usage: "file that gets the log of all instances, for one run"},
+			&cli.BoolFlag{Name: "kinds", Usage: "print the kinds of faults, and play nothing"},
+		},
+		Action: runEmulate,
+	}
+}
+
+func designNames() string {
+	var names []string
+	for _, d := range emulation.Designs() {
+		names = append(names, string(d))
+	}
+	return strings.Join(names, ", ")
+}
+
+// experiment is one call of the command.
+type experiment struct {
+	command *cli.Command
+	file    string
+	day     day.Day
+	results []emulation.Result
+}
+
+func runEmulate(_ context.Context, c *cli.Command) error {
+	if c.Bool("kinds") {
+		return printKinds(c)
+	}
+	if c.Args().Len() != 1 {
+		return errors.Wrap(tree.ErrMisused, "emulate takes one day")
+	}
+	d, err := day.Load(c.Args().First())
+	if err != nil {
+		return err
+	}
+	e := &experiment{command: c, file: c.Args().First(), day: d}
+	for n := range c.Uint64("runs") {
+		if err := e.seed(c.Uint64("seed") + n); err != nil {
+			return err
+		}
+	}
+	return e.report()
+}
+
+func printKinds(c *cli.Command) error {
+	r := rows{head: []string{"Kind", "Meaning"}}
+	for _, m := range day.Meanings() {
+		r.add(m.Kind, m.Text)
+	}
+	return r.write(c.Root().Writer, c.String(flagFormat))
+}
+
+// seed plays the day with one seed, once for each design.
+func (e *experiment) seed(seed uint64) error {
+	d := e.day
+	if e.command.Bool("drawn") {
+		d = d.WithFaults(day.Draw(d, seed))
+	}
+	for _, design := range e.command.StringSlice("design") {
+		r, err := e.play(d, emulation.Options{Seed: seed, Design: emulation.Design(design), Platform: emulated.Platform{}})
+		if err != nil {
+			return err
+		}
+		e.results = append(e.results, r)
+		e.progress(r)
+		if r.Broken > 0 && e.command.Bool("shrink") {
+			if err := e.shrink(d, seed, r.Design); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (e *experiment) play(d day.Day, o emulation.Options) (_ emulation.Result, err error) {
+	if !emulation.Known(o.Design) {
+		return emulation.Result{}, errors.Wrapf(tree.ErrMisused, "design %q isn't one of %s", o.Design, designNames())
+	}
+	name := e.command.String("log")
+	if name == "" {
+		return emulation.Run(d, o)
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return emulation.Result{}, errors.Wrap(err, "write log")
+	}
+	defer func() {
+		if closing := file.Close(); err == nil && closing != nil {
+			err = errors.Wrap(closing, "write log")
+		}
+	}()
+	o.Log = file
+	return emulation.Run(d, o)
+}
+
+// progress tells one run where the results aren't told to a program.
+func (e *experiment) progress(r emulation.Result) {
+	if e.command.String(flagFormat) == formatJSON {
+		return
+	}
+	out := e.command.Root().Writer
+	fmt.Fprintf(out, "Seed %d, %s: %d of %d requests served, %d on time, median %.0f ms, P99 %.0f ms, worst windows %.3f, worth %.3f, %d store calls, %d promises broken.\n",
+		r.Seed, r.Design, r.All.Served, r.All.Asked, r.All.OnTime, r.All.MedianMilliseconds, r.All.P99Milliseconds, r.WorstWindows, r.Worth, r.StoreCalls, r.Broken)
+	if r.Broken == 0 {
+		return
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(out, "  Fault:", f)
+	}
+	for _, b := range r.Breaches {
+		fmt.Fprintf(out, "  %v %s: %s\n", b.At, b.Promise, b.Text)
+	}
+	drawn := ""
+	if e.command.Bool("drawn") {
+		drawn = " --drawn"
+	}
+	fmt.Fprintf(out, "Again: weirctl emulate --seed %d --design %s%s %s\n", r.Seed, r.Design, drawn, e.file)
+}
+
+func (e *experiment) shrink(d day.Day, seed uint64, design emulation.Design) error {
+	out := e.command.Root().Writer
+	fewer, err := emulation.Shrink(d, emulation.Options{Seed: seed, Design: design, Platform: emulated.Platform{}}, func(text string) {
+		fmt.Fprintln(out, "  Shrink:", text)
+	})
+	if err != nil {
+		return err
+	}
+	for _, f := range fewer.Faults {
+		fmt.Fprint(out, f.Section())
+	}
+	return nil
+}
+
+// report writes what came of all runs.
+func (e *experiment) report() error {
+	if e.command.String(flagFormat) == formatJSON {
+		if err := emulation.WriteJSON(e.command.Root().Writer, e.results); err != nil {
+			return err
+		}
+	}
+	if name := e.command.String("html"); name != "" {
+		file, err := os.Create(name)
+		if err != nil {
+			return errors.Wrap(err, "write report")
+		}
+		if err := emulation.WriteHTML(file, e.results); err != nil {
+			return err
+		}
+		if err := file.Close(); err != nil {
+			return errors.Wrap(err, "write report")
+		}
+	}
+	for _, r := range e.results {
+		if r.Broken > 0 {
+			return ErrBroken
+		}
+	}
+	return nil
+}
--- a/pkg/emulation/timeline/timeline_test.go
+++ b/pkg/emulation/timeline/timeline_test.go
@@ -45,8 +45,7 @@
 		line.Pause(time.Minute)
 		got = append(got, line.Now())
 	})
-	var interrupted *timeline.Process
-	interrupted = line.Go(func() {
+	interrupted := line.Go(func() {
 		line.Pause(time.Hour)
 		got = append(got, line.Now())
 	})
--- a/pkg/process/dayreport/page.go
+++ b/pkg/process/dayreport/page.go
@@ -1,7 +1,6 @@
 package dayreport
 
 import (
-	"bytes"
 	"embed"
 	"encoding/json"
 	"fmt"
@@ -11,17 +10,8 @@
 	"text/tabwriter"
 
 	"github.com/go-faster/errors"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
-)
 
-// Size of a plot on the page.
-const (
-	plotWidth  = 22 * vg.Centimeter
-	plotHeight = 6 * vg.Centimeter
+	"github.com/tanagerweir/tanagerweir/pkg/process/chart"
 )
 
 //go:embed page.html
@@ -39,63 +29,42 @@
 	if err != nil {
 		return errors.Wrap(err, "read page template")
 	}
-	served, err := r.plot("requests in 2 s", map[string]func(Bin) float64{
-		"answered":   func(b Bin) float64 { return float64(b.Answered) },
-		"slow":       func(b Bin) float64 { return float64(b.Slow) },
-		"unanswered": func(b Bin) float64 { return float64(b.Unanswered()) },
-		"refused":    func(b Bin) float64 { return float64(b.Refused) },
-	})
+	served, err := r.chart("requests in 2 s",
+		line{chart.Green, func(b Bin) float64 { return float64(b.Answered) }},
+		line{chart.Orange, func(b Bin) float64 { return float64(b.Slow) }},
+		line{chart.Red, func(b Bin) float64 { return float64(b.Unanswered()) }},
+		line{chart.Blue, func(b Bin) float64 { return float64(b.Refused) }},
+	)
 	if err != nil {
 		return err
 	}
-	waits, err := r.plot("wait in ms", map[string]func(Bin) float64{
-		"answered": func(b Bin) float64 { return float64(b.Median.Milliseconds()) },
-		"slow":     func(b Bin) float64 { return float64(b.P99.Milliseconds()) },
-	})
+	waits, err := r.chart("wait in ms",
+		line{chart.Green, func(b Bin) float64 { return float64(b.Median.Milliseconds()) }},
+		line{chart.Orange, func(b Bin) float64 { return float64(b.P99.Milliseconds()) }},
+	)
 	if err != nil {
 		return err
 	}
 	return t.Execute(w, page{Report: r, Served: served, Waits: waits})
 }
 
-// lines are the names of a plot's lines in their order, with their colours.
-var lines = []struct {
-	name   string
+// line is one line of a chart over the report's bins.
+type line struct {
 	colour color.Color
-}{
-	{"answered", color.RGBA{G: 120, B: 60, A: 255}},
-	{"slow", color.RGBA{R: 220, G: 140, A: 255}},
-	{"unanswered", color.RGBA{R: 200, A: 255}},
-	{"refused", color.RGBA{R: 90, G: 90, B: 160, A: 255}},
+	value  func(Bin) float64
 }
 
-func (r Report) plot(unit string, values map[string]func(Bin) float64) (template.HTML, error) {
-	p := plot.New()
-	p.X.Label.Text, p.Y.Label.Text = "seconds", unit
-	p.Y.Min = 0
-	for _, l := range lines {
-		value, drawn := values[l.name]
-		if !drawn {
-			continue
-		}
-		points := make(plotter.XYs, len(r.Bins))
-		for i, b := range r.Bins {
-			points[i].X, points[i].Y = b.From.Seconds(), value(b)
+func (r Report) chart(unit string, lines ...line) (template.HTML, error) {
+	seconds := make([]float64, len(r.Bins))
+	series := make([]chart.Series, len(lines))
+	for i, b := range r.Bins {
+		seconds[i] = b.From.Seconds()
+		for n, l := range lines {
+			series[n].Colour = l.colour
+			series[n].Values = append(series[n].Values, l.value(b))
 		}
-		line, err := plotter.NewLine(points)
-		if err != nil {
-			return "", errors.Wrapf(err, "plot %q", l.name)
-		}
-		line.Color = l.colour
-		p.Add(line)
-	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	var b bytes.Buffer
-	if _, err := canvas.WriteTo(&b); err != nil {
-		return "", errors.Wrap(err, "draw")
 	}
-	return template.HTML(b.String()), nil // drawn here, from numbers only
+	return chart.Lines(unit, seconds, series)
 }
 
 // WriteJSON writes the report as one JSON object.
