--- a/pkg/emulation/day/day.go
+++ b/pkg/emulation/day/day.go
@@ -78,6 +78,8 @@
 type Instances struct {
 	// StartTime is the time from the start of a process to its first packet.
 	StartTime time.Duration
+	// StartSpread parts the starts of instances that start together.
+	StartSpread time.Duration
 	// PacketTime is the processor time of one packet on a whole core.
 	PacketTime time.Duration
 	// QueuePackets is how many packets wait for the processor at most.
--- a/pkg/emulation/day/load.go
+++ b/pkg/emulation/day/load.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,18 +30,39 @@
 	return strings.Join(lines, "\n")
 }
 
-// Load reads and checks a day's settings.
+// options are how settings are read.
+var options = ini.LoadOptions{IgnoreInlineComment: true}
+
+// Load reads and checks a day's settings. The file that [Day] Base names, beside it,
+// holds what the day's own file doesn't.
 func Load(file string) (Day, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return Day{}, errors.Wrap(err, "read day")
 	}
-	return Parse(file, data)
+	parsed, err := ini.LoadSources(options, data)
+	if err != nil {
+		return Day{}, &ProblemsError{File: file, List: []string{err.Error()}}
+	}
+	base := parsed.Section("Day").Key("Base").Value()
+	if base == "" {
+		return Parse(file, data)
+	}
+	under, err := os.ReadFile(filepath.Join(filepath.Dir(file), base))
+	if err != nil {
+		return Day{}, errors.Wrapf(err, "read base of %q", file)
+	}
+	return Parse(file, under, data)
 }
 
-// Parse reads and checks settings from memory; file names them in errors.
-func Parse(file string, data []byte) (Day, error) {
-	parsed, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, data)
+// Parse reads and checks settings from memory, later parts before earlier ones; file
+// names them in errors.
+func Parse(file string, parts ...[]byte) (Day, error) {
+	sources := make([]any, len(parts))
+	for i, part := range parts {
+		sources[i] = part
+	}
+	parsed, err := ini.LoadSources(options, sources[0], sources[1:]...)
 	if err != nil {
 		return Day{}, &ProblemsError{File: file, List: []string{err.Error()}}
 	}
@@ -149,6 +171,7 @@
 }
 
 func (r *reader) day() Day {
+	r.value("Day", "Base", "")
 	d := Day{
 		Name:       r.value("Day", "Name", ""),
 		Warmup:     r.duration("Day", "Warmup", "10s"),
@@ -157,7 +180,8 @@
 		Bounds:     r.bounds(),
 		Links:      r.links(),
 		Instances: Instances{
-			StartTime:    r.duration("Instances", "StartTime", "60ms"),
+			StartTime:    r.duration("Instances", "StartTime", "25ms"),
+			StartSpread:  r.duration("Instances", "StartSpread", "300ms"),
 			PacketTime:   r.duration("Instances", "PacketTime", "20us"),
 			QueuePackets: r.integer("Instances", "QueuePackets", "1600"),
 		},
--- a/pkg/emulation/faults.go
+++ b/pkg/emulation/faults.go
@@ -237,7 +237,7 @@
 		w.disturb(lasts, &i.place)
 		i.kill()
 		i.dark = dark
-		w.line.After(lasts, i.start)
+		w.line.After(lasts+w.startSpread(), i.start)
 	}
 }
 
--- a/pkg/emulation/world.go
+++ b/pkg/emulation/world.go
@@ -213,8 +213,7 @@
 	for _, i := range w.instances {
 		w.probe(i)
 		if i.present {
-			// All start within 0.3 s of each other.
-			w.line.After(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), i.start)
+			w.line.After(w.startSpread(), i.start)
 		}
 	}
 	w.rotate()
@@ -241,6 +240,14 @@
 	w.line.Close()
 }
 
+// startSpread draws how much later than others an instance starts.
+func (w *world) startSpread() time.Duration {
+	if w.day.Instances.StartSpread == 0 {
+		return 0
+	}
+	return time.Duration(w.random.Int64N(int64(w.day.Instances.StartSpread)))
+}
+
 func (w *world) every(period time.Duration, do func()) {
 	var next func()
 	next = func() {
