Follow the store soon after a start where nobody does

An instance that never heard of a follower follows after 0.3 to 0.6 s, more spread in larger data centres. Test: TestInstancesThatStartTogetherSoonHaveAFollower, red before. The judge no longer takes a reset for an old configuration where nothing can serve.

--- a/pkg/emulation/judge.go
+++ b/pkg/emulation/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
@@ -216,6 +217,8 @@
 		if p.version > i.shown {
 			i.shown, i.shownAt = p.version, j.world.line.Now()
 		}
+	case !forwarded && !j.world.servable(p.route):
+		// A reset says that nothing can serve the flow, not that there is no route.
 	case p.sent > p.acknowledged+b.Configuration && j.inTouch(i):
 		j.broken(ConfigurationInForce, "instance %s goes by a version before %d, %v after it was acknowledged", i.name, p.version, p.sent-p.acknowledged)
 	case i.shown >= p.version && p.sent > i.shownAt+slackOf(i):
@@ -223,6 +226,14 @@
 	}
 }
 
+// servable says whether a backend server may get new flows of a route.
+func (w *world) servable(route netip.AddrPort) bool {
+	return slices.ContainsFunc(w.servers, func(v *server) bool {
+		_, out := w.operator.out[v.centre]
+		return v.listening && !v.draining && !out && w.operator.everLeads(route, v.service.Name)
+	})
+}
+
 const (
 	// rollbackSlack is how long after the first effect of a version a packet may
 	// still be handled by an older one, and slowedSlack that of a slowed instance.
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -43,6 +43,12 @@
 	StaleAfter = 1700 * time.Millisecond
 	// staleSpread parts the instances that find their copies stale at once.
 	staleSpread = 400 * time.Millisecond
+	// firstAfter and firstSpread bound how old the copy of an instance that never
+	// heard of a follower may be until it follows: where one follows, an instance
+	// hears of it in the first period of 0.25 s. A backend server that starts anew
+	// after all instances did is not known to be cold before.
+	firstAfter  = 300 * time.Millisecond
+	firstSpread = 300 * time.Millisecond
 	// yieldAge is the oldest word of another follower for which one makes way.
 	yieldAge = 1500 * time.Millisecond
 	// heardFor is how long an instance counts as alive after its last word.
@@ -100,6 +106,7 @@
 	random    *rand.Rand
 	confirmed time.Duration
 	patience  time.Duration
+	first     time.Duration
 	following bool
 	periods   int
 	// follower is the other follower of the lowest rank that was heard of, and
@@ -115,6 +122,7 @@
 	c := &Core{
 		self: self, rank: rankOf(self.Name), peers: make(map[string]*peer), random: r,
 		patience: StaleAfter + time.Duration(r.Int64N(int64(staleSpread))),
+		first:    time.Duration(r.Int64N(int64(firstSpread))),
 	}
 	c.Seed(seeds)
 	return c
@@ -196,7 +204,11 @@
 // Patience returns how old a confirmation may be until the instance follows.
 func (c *Core) Patience() time.Duration {
 	size := uint(len(c.peers)) / uint(len(c.centres())+1)
-	return c.patience + time.Duration(bits.Len(size/spreadFrom))*spreadStep
+	doublings := bits.Len(size / spreadFrom)
+	if c.follower == "" {
+		return firstAfter + c.first<<doublings
+	}
+	return c.patience + time.Duration(doublings)*spreadStep
 }
 
 // Follows says whether the instance is to follow the store.
--- a/pkg/process/membership/membership_test.go
+++ b/pkg/process/membership/membership_test.go
@@ -196,3 +196,40 @@
 		})
 	}
 }
+
+// After all instances were lost together nobody follows, and backend servers may
+// turn cold meanwhile.
+func TestInstancesThatStartTogetherSoonHaveAFollower(t *testing.T) {
+	for _, each := range []int{3, 30, 160} {
+		f := newFleet(3, each)
+		f.run(750 * time.Millisecond)
+		early := f.calls
+		if early == 0 {
+			t.Errorf("3 times %d instances: nobody follows 0.75 s after the start", each)
+		}
+		f.run(4 * time.Second)
+		if n := f.followers(); n != 1 {
+			t.Errorf("3 times %d instances: %d follow later, want 1", each, n)
+		}
+		// Each has read the store once at its start already.
+		if early > 3*each/2 {
+			t.Errorf("3 times %d instances: %d calls right after the start", each, early)
+		}
+	}
+}
+
+func TestInstanceThatHearsOfAFollowerLeavesItTheStore(t *testing.T) {
+	f := newFleet(1, 2)
+	f.run(4 * time.Second)
+	started := membership.New(membership.Member{Name: "new", DataCentre: "centre-0"}, nil, 3)
+	started.Know(f.now, f.names)
+	started.Confirm(f.now)
+	for _, core := range f.cores {
+		h := core.Hello(f.now)
+		h.Revision = 1
+		started.Hear(f.now, h, false)
+	}
+	if started.Follows(f.now + time.Second) {
+		t.Error("an instance follows beside another that it hears of")
+	}
+}
