Doubt a backend server when an opening takes over 100 ms

Cause: a server whose process has ended refuses openings, and its callers' attempts end without a copy; instances saw that only as load that stays for 1.5 s. An opening whose caller sends nothing within 0.1 s now counts as a failure, once. Tests: TestServerThatRefusesTwoFlowsGetsNoMore, red before, and two on false alarms.

--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -40,7 +40,8 @@
 	sent, answered uint32
 	// waiting says that a request was sent and nothing answered since.
 	waiting bool
-	// blamed says that this wait was already held against the backend server.
+	// blamed says that this wait, for the opening or an answer, was already held
+	// against the backend server.
 	blamed bool
 }
 
@@ -84,6 +85,14 @@
 	byKey map[segment.Flow]*flow
 	free  []*flow
 	swept time.Duration
+	// opening are the latest opening packets, in order.
+	opening []asking
+}
+
+// asking is an opening packet of a flow.
+type asking struct {
+	key   segment.Flow
+	asked time.Duration
 }
 
 func newFlows() flows { return flows{byKey: make(map[segment.Flow]*flow)} }
@@ -130,6 +139,19 @@
 	}
 }
 
+// unopened takes the next flow that is still being opened by a packet sent before
+// then.
+func (t *flows) unopened(before time.Duration) *flow {
+	for len(t.opening) > 0 && t.opening[0].asked <= before {
+		a := t.opening[0]
+		t.opening = t.opening[1:]
+		if f := t.byKey[a.key]; f != nil && f.at == nil && f.asked == a.asked {
+			return f
+		}
+	}
+	return nil
+}
+
 // sweep forgets flows that have been silent for too long.
 func (t *flows) sweep(now, idle time.Duration) {
 	if now-t.swept < sweepPeriod {
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -137,7 +137,9 @@
 	confirmed, returned time.Duration
 	// answered is when a caller last acknowledged something new.
 	answered time.Duration
-	events   []Event
+	// ticked is when it was last looked for openings that take too long.
+	ticked time.Duration
+	events []Event
 }
 
 // New returns a Core that knows nothing yet.
@@ -235,6 +237,7 @@
 	if !ok {
 		return Decision{Verdict: Reset, Reason: NoRoute}
 	}
+	c.doubtUnopened(now)
 	f := c.begin(now, s)
 	v := c.place(now, route, f)
 	if v == nil {
@@ -289,6 +292,7 @@
 // its mark for as long as a flow may last.
 func (c *Core) Tick(now, maxFlow time.Duration) {
 	c.servers.expire(now, maxFlow)
+	c.doubtUnopened(now)
 	c.flows.sweep(now, c.directory.IdleTimeout())
 	for _, v := range c.servers.known {
 		v.view.average += averageShare * (float64(v.view.running) - v.view.average)
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -35,6 +35,13 @@
 	reportDelay = 65 * time.Millisecond
 	// deadFor is how long the verdict holds without further failures.
 	deadFor = 2 * time.Second
+	// openedWithin is how long the opening of a flow takes at most, from its first
+	// packet to the caller's next: two ways of some 3 ms, and the queue of a slow
+	// machine or link.
+	openedWithin = 100 * time.Millisecond
+	// standstill is the time without a tick, one each 0.1 s, from which on the
+	// instance counts as having stood still.
+	standstill = 250 * time.Millisecond
 	// answersAge is how old the last answer of any other server may be: without
 	// any, the instance or its callers may be cut off instead.
 	answersAge = 300 * time.Millisecond
@@ -139,19 +146,38 @@
 		*f = flow{key: s.Flow, kept: true, seen: now}
 	}
 	if v := f.last(); v != nil {
-		v.view.unanswered(now, f.asked)
+		if !f.blamed {
+			v.view.unanswered(now, f.asked)
+		}
 		f.load(-1)
 	}
 	return f
 }
 
+// doubtUnopened holds openings that took too long against their servers, long before
+// callers send copies; where the server refused, none follow. After a standstill of
+// the instance the packets that it would have seen still wait.
+func (c *Core) doubtUnopened(now time.Duration) {
+	if now-c.ticked > standstill {
+		c.flows.opening = nil
+	}
+	c.ticked = now
+	for f := c.flows.unopened(now - openedWithin); f != nil; f = c.flows.unopened(now - openedWithin) {
+		f.blamed = true
+		f.last().view.unanswered(now, f.asked)
+	}
+}
+
 // placed notes where an opening packet goes.
 func (c *Core) placed(now time.Duration, f *flow, v *server) {
 	v.view.tried(now)
 	if now < v.coldUntil {
 		v.coldSent = now
 	}
-	f.asked = now
+	f.asked, f.blamed = now, false
+	if f.kept && len(c.flows.opening) < maxFlows {
+		c.flows.opening = append(c.flows.opening, asking{key: f.key, asked: now})
+	}
 	for i := range f.tries {
 		if f.tries[i] == nil || i == len(f.tries)-1 {
 			f.tries[i] = v
--- a/pkg/connection/forwarding/observe_test.go
+++ b/pkg/connection/forwarding/observe_test.go
@@ -276,3 +276,65 @@
 		}
 	}
 }
+
+// A server whose process has ended refuses openings, which ends the caller's
+// attempt without another packet.
+func TestServerThatRefusesTwoFlowsGetsNoMore(t *testing.T) {
+	for name, tick := range map[string]bool{"found by time": true, "found by the next flow": false} {
+		c := newCore(deployment())
+		refusing := refuse(t, c)
+		later := 150 * time.Millisecond
+		if tick {
+			c.Tick(later, maxFlow)
+		}
+		for range 60 {
+			if _, d := opened(t, c, later, feedRoute); d.Server == refusing {
+				t.Fatalf("%s: a server that refuses flows got another one", name)
+			}
+		}
+	}
+}
+
+// refuse opens flows of which two get no further at one server, which it returns,
+// while all others answer.
+func refuse(t *testing.T, c *forwarding.Core) string {
+	t.Helper()
+	refusing, refused := "", 0
+	for now := time.Millisecond; refused < 2; now += time.Millisecond {
+		p, d := opened(t, c, now, feedRoute)
+		if refusing == "" {
+			refusing = d.Server
+		}
+		if d.Server == refusing {
+			refused++
+			continue
+		}
+		c.Decide(now, p.request())
+	}
+	return refusing
+}
+
+func TestCopyOfADoubtedOpeningIsNoSecondFailure(t *testing.T) {
+	c := newCore(deployment())
+	p, d := opened(t, c, time.Millisecond, feedRoute)
+	c.Tick(150*time.Millisecond, maxFlow)
+	c.Decide(firstCopy, p.open(1))
+	c.Tick(250*time.Millisecond, maxFlow)
+	for _, e := range c.Events() {
+		if e.Server == d.Server && e.Now == forwarding.Suspected {
+			t.Errorf("server %q is suspected after one flow", e.Server)
+		}
+	}
+}
+
+// After a standstill the packets that came meanwhile haven't been looked at.
+func TestStandstillOfTheInstanceDoubtsNobody(t *testing.T) {
+	c := newCore(deployment())
+	for range 40 {
+		opened(t, c, time.Millisecond, feedRoute)
+	}
+	c.Tick(3*time.Second, maxFlow)
+	if events := c.Events(); len(events) != 0 {
+		t.Errorf("%d servers are suspected", len(events))
+	}
+}
--- a/pkg/emulation/judge.go
+++ b/pkg/emulation/judge.go
@@ -226,11 +226,11 @@
 	}
 }
 
-// servable says whether a backend server may get new flows of a route.
+// servable says whether a warm backend server may get new flows of a route.
 func (w *world) servable(route netip.AddrPort) bool {
 	return slices.ContainsFunc(w.servers, func(v *server) bool {
 		_, out := w.operator.out[v.centre]
-		return v.listening && !v.draining && !out && w.operator.everLeads(route, v.service.Name)
+		return v.listening && !v.draining && !out && w.line.Now() >= v.coldUntil && w.operator.everLeads(route, v.service.Name)
 	})
 }
 
