Let one caller's unfinished openings suspect nobody

Failures by openings count once for a caller. The emulator's callers have addresses of their own and trap flows end as others do. Test: TestCallerThatLeavesItsOpeningsMakesNobodySuspected, red before.

--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
@@ -62,6 +63,8 @@
 	// the last of them was noticed.
 	failures int
 	failed   time.Duration
+	// doubter is the caller whose opening was noticed last to take too long.
+	doubter netip.Addr
 	// stuck are those among them that had been open.
 	stuck int
 	// trial is when a suspected server gets its next flow, backoff the time
@@ -126,6 +129,18 @@
 	return true
 }
 
+// unopened is unanswered for a flow that a caller doesn't go on to open. A caller
+// that opens flows and leaves them tells nothing by the second one.
+func (w *view) unopened(now time.Duration, f *flow) {
+	caller := f.key.Caller.Addr()
+	if w.failures > 0 && w.doubter == caller {
+		return
+	}
+	if w.unanswered(now, f.asked) {
+		w.doubter = caller
+	}
+}
+
 // tried notes that a suspected server gets a flow: the next has to wait.
 func (w *view) tried(now time.Duration) {
 	if w.failures >= suspectAfter {
@@ -164,7 +179,7 @@
 	c.ticked = now
 	for f := c.flows.unopened(now - openedWithin); f != nil; f = c.flows.unopened(now - openedWithin) {
 		f.blamed = true
-		f.last().view.unanswered(now, f.asked)
+		f.last().view.unopened(now, f)
 	}
 }
 
--- a/pkg/connection/forwarding/observe_test.go
+++ b/pkg/connection/forwarding/observe_test.go
@@ -1,6 +1,7 @@
 package forwarding_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -338,3 +339,19 @@
 		t.Errorf("%d servers are suspected", len(events))
 	}
 }
+
+// A caller that scans ports opens flows and leaves them.
+func TestCallerThatLeavesItsOpeningsMakesNobodySuspected(t *testing.T) {
+	c := newCore(deployment())
+	for n := range uint16(200) {
+		at := netip.AddrPortFrom(netip.MustParseAddr("100.64.9.9"), 1024+n)
+		c.Decide(time.Duration(n)*time.Millisecond, newCallerAt(at, feedRoute).open(0))
+		c.Tick(time.Duration(n)*time.Millisecond, maxFlow)
+	}
+	c.Tick(400*time.Millisecond, maxFlow)
+	for _, e := range c.Events() {
+		if e.Now == forwarding.Suspected {
+			t.Errorf("server %q is suspected", e.Server)
+		}
+	}
+}
--- a/pkg/connection/forwarding/world_test.go
+++ b/pkg/connection/forwarding/world_test.go
@@ -88,8 +88,13 @@
 
 func newCaller(route netip.AddrPort) *caller {
 	nextPort++
+	host := netip.AddrFrom4([4]byte{100, 64, byte(nextPort >> 8), byte(nextPort)})
+	return newCallerAt(netip.AddrPortFrom(host, nextPort), route)
+}
+
+func newCallerAt(at, route netip.AddrPort) *caller {
 	return &caller{
-		flow:     segment.Flow{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), nextPort), Route: route},
+		flow:     segment.Flow{Caller: at, Route: route},
 		sequence: 100, answered: 5000,
 	}
 }
--- a/pkg/emulation/caller.go
+++ b/pkg/emulation/caller.go
@@ -25,7 +25,6 @@
 	factor float64
 	users  []*user
 	port   uint16
-	host   byte
 }
 
 // user keeps one long flow.
@@ -219,14 +218,18 @@
 	return &flow{home: c, key: segment.Flow{Caller: c.nextEndpoint(), Route: route}, first: c.random.Uint32()}
 }
 
-// nextEndpoint returns a caller's endpoint that wasn't used for long.
+// usersOfCaller is how many users share a caller's address.
+const usersOfCaller = 3
+
+// nextEndpoint returns the endpoint of a drawn caller, with a port that wasn't used
+// for long.
 func (c *callers) nextEndpoint() netip.AddrPort {
 	c.port++
 	if c.port < 1024 {
 		c.port = 1024
-		c.host++
 	}
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(c.world.centreIndex(c.centre)), c.host}), c.port)
+	host := c.random.IntN(max(c.load.Users/usersOfCaller, 1))
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(64 + c.world.centreIndex(c.centre)), byte(host >> 8), byte(host)}), c.port)
 }
 
 // open sends the opening packet and its copies.
@@ -281,11 +284,12 @@
 	f.stopTimers()
 	f.in = newReceiver(w.line, w.day.Callers, s.Sequence+1, func() { f.acknowledge(0) })
 	f.out = newSender(w.line, w.day.Callers, f.first+1, f.data)
-	if a := f.attempt; a != nil {
-		f.carry(a)
+	if f.trap != nil {
+		f.acknowledge(0)
+		f.finish()
 		return
 	}
-	f.acknowledge(0)
+	f.carry(f.attempt)
 }
 
 func (f *flow) stopTimers() {
--- a/pkg/emulation/operator.go
+++ b/pkg/emulation/operator.go
@@ -174,7 +174,7 @@
 	c := w.callers[w.centreIndex(i.centre)]
 	p.sent = w.line.Now()
 	f := newFlow(c, p.route)
-	f.trap, f.state = &p, closed
+	f.trap = &p
 	w.carry(f, i, w.platform.Packet(segment.Segment{Flow: f.key, Flags: segment.Open, Sequence: f.first}, nil))
 }
 
