--- /dev/null
+++ b/pkg/emulation/day/day_test.go
@@ -0,0 +1,117 @@
+package day_test
+
+import (
+	"errors"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
+)
+
+func TestAllExamplesAreFine(t *testing.T) {
+	files, err := filepath.Glob("../../../examples/emulation/*.ini")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%d examples: %v", len(files), err)
+	}
+	for _, file := range files {
+		if _, err := day.Load(file); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestAllProblemsAreNamedAtOnce(t *testing.T) {
+	_, err := day.Parse("wrong.ini", []byte(`[Day]
+Span = 5s
+[DataCentre a]
+Instances = some
+Requests = 10
+Users = 3
+[Service board]
+Servers = 1, x
+Slots = 2
+[Class feed]
+Service = board
+Kind = Sometimes
+Work = 40ms
+Target = fast
+Budget = 3s
+[Fault one]
+Kind = Earthquake
+At = 3s
+`))
+	var problems *day.ProblemsError
+	if !errors.As(err, &problems) {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`[Day] Span: no such key`, `[DataCentre a] Instances = "some"`, `[Service board] Servers = "1, x"`,
+		`[Class feed] Kind = "Sometimes"`, `[Class feed] Target = "fast"`, `[Fault one] Kind = "Earthquake"`,
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%s isn't among:\n%v", want, err)
+		}
+	}
+}
+
+func TestNamesHaveToReferToOneAnother(t *testing.T) {
+	_, err := day.Parse("wrong.ini", []byte(`[Day]
+Name = x
+[DataCentre a]
+Instances = 1
+Requests = 10
+Users = 3
+[Service board]
+Servers = 1, 2
+Slots = 2
+[Class feed]
+Service = ledger
+Kind = Repeatable
+Work = 40ms
+Target = 200ms
+Budget = 3s
+[Fault one]
+Kind = DataCentreCut
+At = 3s
+DataCentre = b
+`))
+	for _, want := range []string{`[Service board] Servers`, `[Class feed] Service = "ledger"`, `[Fault one] DataCentre = "b"`} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s isn't among: %v", want, err)
+		}
+	}
+}
+
+func TestDrawnFaultsRepeatAndReadBack(t *testing.T) {
+	d, err := day.Load("../../../examples/emulation/dakar.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range uint64(50) {
+		faults := day.Draw(d, seed)
+		if diff := cmp.Diff(faults, day.Draw(d, seed)); diff != "" {
+			t.Fatal(diff)
+		}
+		var text strings.Builder
+		text.WriteString("[Day]\nName = drawn\n[DataCentre dakar-plateau]\nInstances = 1\nRequests = 1\nUsers = 1\n" +
+			"[Service board]\nServers = 1\nSlots = 1\n[Class c]\nService = board\nKind = Upload\nWork = 1ms\nTarget = 1s\nBudget = 1s\n")
+		for _, f := range faults {
+			text.WriteString(f.Section())
+		}
+		back, err := day.Parse("drawn.ini", []byte(text.String()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for n, f := range back.Faults {
+			if len(f.How) == 0 {
+				f.How = faults[n].How
+			}
+			if diff := cmp.Diff(faults[n], f); diff != "" {
+				t.Error(diff)
+			}
+		}
+	}
+}
