--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -42,26 +42,36 @@
 // Adopt takes a newer directory.
 func (c *Core) Adopt(now time.Duration, d directory.Directory) {
 	c.chill(now, d)
-	present := make(map[mark.Mark]bool, len(d.Servers()))
-	for _, described := range d.Servers() {
-		m := mark.Of(described.ID)
-		present[m] = true
-		if v := c.servers.describe(now, m, described); v != nil {
+	moved := false
+	d.Differences(c.directory, func(was, is *directory.Server) {
+		if is == nil {
+			c.lose(now, was.ID)
+			moved = true
+			return
+		}
+		moved = moved || was == nil || was.Service != is.Service
+		if v := c.servers.describe(now, mark.Of(is.ID), *is); v != nil {
 			// It started anew: its flows of before are gone.
 			c.flows.leave(v)
 			v.view = view{}
 		}
+	})
+	c.directory = d
+	if moved {
+		c.servers.index()
 	}
-	for m, v := range c.servers.byMark {
-		if !present[m] && !v.missing {
-			v.missing, v.gone, v.lapsed = true, now, now
-			if !v.Draining && c.returned > 0 {
-				v.lapsed = max(now, c.returned+lapsedFor)
-			}
-		}
+}
+
+// lose notes that the directory has no entry of a backend server any more.
+func (c *Core) lose(now time.Duration, id string) {
+	v := c.servers.byMark[mark.Of(id)]
+	if v == nil || v.ID != id || v.missing {
+		return // another one has its mark
+	}
+	v.missing, v.gone, v.lapsed = true, now, now
+	if !v.Draining && c.returned > 0 {
+		v.lapsed = max(now, c.returned+lapsedFor)
 	}
-	c.directory = d
-	c.servers.index()
 }
 
 // chill takes the backend servers of data centres that are brought back for cold
--- a/pkg/process/entry/changes.go
+++ b/pkg/process/entry/changes.go
@@ -19,16 +19,16 @@
 		s.log.Info("Directory: read.", "Servers", len(after.Servers()), "Instances", len(after.Instances()), "From", from)
 		return
 	}
-	for _, v := range after.Servers() {
-		if old, _ := before.Server(v.ID); old.Revision != v.Revision {
-			s.tellServer(old, v, from)
+	after.Differences(before, func(was, is *directory.Server) {
+		switch {
+		case is == nil:
+			s.log.Info("Server: its entry is gone.", "Server", was.ID, "Draining", was.Draining, "Revision", was.Revision, "From", from)
+		case was == nil:
+			s.tellServer(directory.Server{}, *is, from)
+		default:
+			s.tellServer(*was, *is, from)
 		}
-	}
-	for _, v := range before.Servers() {
-		if _, stays := after.Server(v.ID); !stays {
-			s.log.Info("Server: its entry is gone.", "Server", v.ID, "Draining", v.Draining, "Revision", v.Revision, "From", from)
-		}
-	}
+	})
 }
 
 func (s *state) tellServer(before, after directory.Server, from string) {
--- a/pkg/version/directory/directory.go
+++ b/pkg/version/directory/directory.go
@@ -217,6 +217,27 @@
 	return d.servers[at], true
 }
 
+// Differences calls each for the backend servers that were described anew since an
+// older directory, with nil for one that only one of the directories has.
+func (d Directory) Differences(older Directory, each func(before, after *Server)) {
+	was, is := older.servers, d.servers
+	for len(was) > 0 || len(is) > 0 {
+		switch {
+		case len(is) == 0 || len(was) > 0 && was[0].ID < is[0].ID:
+			each(&was[0], nil)
+			was = was[1:]
+		case len(was) == 0 || is[0].ID < was[0].ID:
+			each(nil, &is[0])
+			is = is[1:]
+		default:
+			if was[0].Revision != is[0].Revision {
+				each(&was[0], &is[0])
+			}
+			was, is = was[1:], is[1:]
+		}
+	}
+}
+
 // WithEvacuated returns d with a data centre taken out or brought back.
 func (d Directory) WithEvacuated(dataCentre string, out bool) Directory {
 	d.evacuated = maps.Clone(d.evacuated)
