--- a/pkg/bench/capacity/measures.go
+++ b/pkg/bench/capacity/measures.go
@@ -22,11 +22,13 @@
 )
 
 const (
-	rounds     = 5 // of a timing, of which the shortest counts
-	decisions  = 200_000
-	simulated  = 10 * time.Minute // of the platform's calls
-	ownName    = "entry-1"
-	nodePeriod = 50 * time.Millisecond
+	rounds    = 5 // of a timing, of which the shortest counts
+	decisions = 200_000
+	simulated = 10 * time.Minute // of the platform's calls
+	ownName   = "entry-1"
+	// requestPeriod is the time between two requests: 20 a second, about half of the
+	// 43 that an instance gets at the design size (21,000 / 490).
+	requestPeriod = 50 * time.Millisecond
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -330,7 +332,7 @@
 	at := epoch.Add(time.Second)
 	took := shortest(func() {
 		for range requests {
-			at = at.Add(nodePeriod)
+			at = at.Add(requestPeriod)
 			a, refusal := u.Begin(at, dispatch.Request{Class: class, Deadline: at.Add(time.Minute)})
 			if refusal == nil && !a.Waiting {
 				u.Settle(at, a, dispatch.Outcome{Verdict: verdict.Ran})
--- a/pkg/bench/configuration/faults.go
+++ b/pkg/bench/configuration/faults.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	warmTime  = 8 * time.Second  // before a fault
-	faultTime = 12 * time.Second // while it lasts
-	healTime  = 6 * time.Second  // after it
-	slowCalls = 1500 * time.Millisecond
-	trials    = 3 // changes under each fault
+	warmTime  = 8 * time.Second         // before a fault
+	faultTime = 12 * time.Second        // while it lasts
+	healTime  = 6 * time.Second         // after it
+	slowCalls = 1500 * time.Millisecond // below callTimeout, so that calls still succeed
+	trials    = 3                       // changes under each fault
 )
 
 // fault is a failure that strikes around a change of the configuration.
--- a/pkg/bench/configuration/fleet.go
+++ b/pkg/bench/configuration/fleet.go
@@ -19,11 +19,13 @@
 	tickPeriod       = 25 * time.Millisecond   // between two looks at what is due
 	peerDelay        = 1500 * time.Microsecond // one way between two instances
 	platformDelay    = 2 * time.Millisecond    // for one call on the platform
-	callTimeout      = 2 * time.Second
-	reopenPause      = 1 * time.Second // after a watch ended
+	callTimeout      = 2 * time.Second         // as an instance's keeper bounds its calls
+	reopenPause      = 1 * time.Second         // after a watch ended
 	exchangeOverhead = gossip.MessageOverhead
 	listPeriod       = 2 * time.Second // of the baseline, which reads the list everywhere
-	baselineRenewal  = 30 * time.Second
+	// baselineRenewal is how long the baseline's watches last; no measurement or page
+	// gives the figure.
+	baselineRenewal = 30 * time.Second
 )
 
 // node is one instance.
--- a/pkg/bench/configuration/move.go
+++ b/pkg/bench/configuration/move.go
@@ -10,7 +10,7 @@
 // Times of a data centre's move since a trial began.
 const (
 	moveOpens   = 3 * time.Second // flows begin to open, requests to be sent
-	moveOpenFor = 4 * time.Second
+	moveOpenFor = 4 * time.Second // all are open 3 s before moveOut
 	moveOut     = 10 * time.Second
 	moveIn      = 20 * time.Second
 	moveEnds    = 36 * time.Second
