--- a/cmd/weirctl/cmds/check.go
+++ b/cmd/weirctl/cmds/check.go
@@ -85,10 +85,7 @@
 	}
 	var ours *settings.ProblemsError
 	var theirs *platform.ProblemsError
-	var days *day.ProblemsError
 	switch {
-	case errors.As(err, &days):
-		return days.List, nil
 	case errors.As(err, &ours):
 		return ours.List, nil
 	case errors.As(err, &theirs):
--- a/cmd/weirctl/cmds/emulate.go
+++ b/cmd/weirctl/cmds/emulate.go
@@ -12,6 +12,7 @@
 	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
+	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 	"github.com/tanagerweir/tanagerweir/platform/emulated"
 )
 
@@ -61,9 +62,9 @@
 		return errors.Wrap(tree.ErrMisused, "emulate takes one day")
 	}
 	d, err := day.Load(c.Args().First())
-	var wrong *day.ProblemsError
+	var wrong *settings.ProblemsError
 	if errors.As(err, &wrong) {
-		return errors.Wrapf(tree.ErrMisused, "%v", err)
+		return errors.Wrapf(tree.ErrMisused, "%s: %v", c.Args().First(), err)
 	}
 	if err != nil {
 		return err
--- a/pkg/emulation/day/day.go
+++ b/pkg/emulation/day/day.go
@@ -5,7 +5,7 @@
 //
 //	d, err := day.Load("examples/emulation/dakar.ini")
 //	if err != nil {
-//		return err // a *day.ProblemsError lists every wrong key
+//		return err // a *settings.ProblemsError lists every wrong key
 //	}
 //	d = d.WithFaults(d.Faults[1:])
 package day
--- a/pkg/emulation/day/day_test.go
+++ b/pkg/emulation/day/day_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
+	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 )
 
 func TestAllExamplesAreFine(t *testing.T) {
@@ -24,7 +25,7 @@
 }
 
 func TestAllProblemsAreNamedAtOnce(t *testing.T) {
-	_, err := day.Parse("wrong.ini", []byte(`[Day]
+	_, err := day.Parse([]byte(`[Day]
 Span = 5s
 [DataCentre a]
 Instances = some
@@ -43,7 +44,7 @@
 Kind = Earthquake
 At = 3s
 `))
-	var problems *day.ProblemsError
+	var problems *settings.ProblemsError
 	if !errors.As(err, &problems) {
 		t.Fatal(err)
 	}
@@ -58,7 +59,7 @@
 }
 
 func TestNamesHaveToReferToOneAnother(t *testing.T) {
-	_, err := day.Parse("wrong.ini", []byte(`[Day]
+	_, err := day.Parse([]byte(`[Day]
 Name = x
 [DataCentre a]
 Instances = 1
@@ -101,7 +102,7 @@
 		for _, f := range faults {
 			text.WriteString(f.Section())
 		}
-		back, err := day.Parse("drawn.ini", []byte(text.String()))
+		back, err := day.Parse([]byte(text.String()))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/pkg/emulation/day/load.go
+++ b/pkg/emulation/day/load.go
@@ -12,24 +12,10 @@
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
 
+	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
-// ProblemsError lists everything that is wrong with a day's settings.
-type ProblemsError struct {
-	File string
-	List []string
-}
-
-// Error returns one problem a line.
-func (p *ProblemsError) Error() string {
-	lines := make([]string, len(p.List))
-	for i, problem := range p.List {
-		lines[i] = p.File + ": " + problem
-	}
-	return strings.Join(lines, "\n")
-}
-
 // options are how settings are read.
 var options = ini.LoadOptions{IgnoreInlineComment: true}
 
@@ -42,29 +28,28 @@
 	}
 	parsed, err := ini.LoadSources(options, data)
 	if err != nil {
-		return Day{}, &ProblemsError{File: file, List: []string{err.Error()}}
+		return Day{}, &settings.ProblemsError{List: []string{err.Error()}}
 	}
 	base := parsed.Section("Day").Key("Base").Value()
 	if base == "" {
-		return Parse(file, data)
+		return Parse(data)
 	}
 	under, err := os.ReadFile(filepath.Join(filepath.Dir(file), base))
 	if err != nil {
 		return Day{}, errors.Wrapf(err, "read base of %q", file)
 	}
-	return Parse(file, under, data)
+	return Parse(under, data)
 }
 
-// Parse reads and checks settings from memory, later parts before earlier ones; file
-// names them in errors.
-func Parse(file string, parts ...[]byte) (Day, error) {
+// Parse reads and checks settings from memory, later parts before earlier ones.
+func Parse(parts ...[]byte) (Day, error) {
 	sources := make([]any, len(parts))
 	for i, part := range parts {
 		sources[i] = part
 	}
 	parsed, err := ini.LoadSources(options, sources[0], sources[1:]...)
 	if err != nil {
-		return Day{}, &ProblemsError{File: file, List: []string{err.Error()}}
+		return Day{}, &settings.ProblemsError{List: []string{err.Error()}}
 	}
 	r := &reader{file: parsed}
 	d := r.day()
@@ -73,7 +58,7 @@
 		r.consistent(d)
 	}
 	if len(r.problems) > 0 {
-		return Day{}, &ProblemsError{File: file, List: r.problems}
+		return Day{}, &settings.ProblemsError{List: r.problems}
 	}
 	return d, nil
 }
--- a/pkg/emulation/faults.go
+++ b/pkg/emulation/faults.go
@@ -1,11 +1,12 @@
 package emulation
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
 )
 
@@ -33,7 +34,7 @@
 func (w *world) inject(f day.Fault) {
 	inject, ok := injectors[f.Kind]
 	if !ok {
-		w.fail(fmt.Errorf("fault %q has the unknown kind %q", f.Name, f.Kind))
+		w.fail(errors.Errorf("fault %q has the unknown kind %q", f.Name, f.Kind))
 		return
 	}
 	w.told = append(w.told, f.String())
