--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -93,10 +93,11 @@
 	return entry.Options{
 		Name: s.Name, DataCentre: s.DataCentre,
 		Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath, Peers: s.Peers, Seeds: s.Seeds,
-		Format: platform.Format{}, Store: store, Translate: platform.Translate, EncodeInstance: platform.EncodeInstance,
-		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
-		Metrics:     netip.AddrPortFrom(s.Packets.Addr(), metricsPort),
-		MaxFlow:     s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
+		Format: platform.Format{}, Store: store, Translate: platform.Translate, EncodeInstance: platform.EncodeInstance, EarlyPrefixes: platform.EarlyPrefixes(),
+		HistoryGone:        func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
+		Metrics:            netip.AddrPortFrom(s.Packets.Addr(), metricsPort),
+		LinkBytesPerSecond: s.LinkBytesPerSecond,
+		MaxFlow:            s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
 	}
 }
 
--- a/pkg/emulation/checker.go
+++ b/pkg/emulation/checker.go
@@ -226,6 +226,8 @@
 		if forwarded {
 			c.addBreach(RightService, "instance %s forwarded a flow of route %s, which never existed", i.name, check.route)
 		}
+	case showsVersion && check.kind == removedRoute && check.addedIn > max(i.seenVersion, firstVersion):
+		// The instance may be behind the version that added the route.
 	case showsVersion:
 		if check.version > i.seenVersion {
 			i.seenVersion, i.seenVersionAt = check.version, c.world.clock.Now()
--- a/pkg/emulation/instance.go
+++ b/pkg/emulation/instance.go
@@ -9,8 +9,8 @@
 
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/timeline"
 	"github.com/tanagerweir/tanagerweir/pkg/process/entry"
+	"github.com/tanagerweir/tanagerweir/pkg/transfer"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
-	wire "github.com/tanagerweir/tanagerweir/service/entry"
 )
 
 // instance runs the real engine of an instance, package entry, on an emulated
@@ -99,6 +99,7 @@
 	}
 	i.engine = engine
 	i.startProcess(func() { engine.Follow(i.ctx) })
+	i.startProcess(func() { engine.FollowEarly(i.ctx) })
 	i.startProcess(func() { engine.Register(i.ctx) })
 	i.every(entry.TickPeriod, engine.Tick)
 	i.every(entry.ExchangePeriod, engine.SendState)
@@ -237,18 +238,34 @@
 
 type deadlineKey struct{}
 
+// Transfer returns a context whose deadline in virtual time moves on as a response
+// arrives.
+func (i *instance) Transfer(ctx context.Context, l transfer.Limit) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	meter := transfer.NewMeter(i.world.clock.Now(), l)
+	ctx = context.WithValue(ctx, deadlineKey{}, meter.Deadline)
+	return transfer.WithTrace(ctx, transfer.Trace{
+		Began:    func(int64) { meter.Begin(i.world.clock.Now()) },
+		Received: func(bytes int) { meter.Receive(i.world.clock.Now(), bytes) },
+	}), cancel
+}
+
 // Deadline returns a context that carries a deadline in virtual time. [deadlineOf]
 // reads it; the context itself doesn't expire.
 func (i *instance) Deadline(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	bounded, cancel := context.WithCancel(ctx)
-	return context.WithValue(bounded, deadlineKey{}, i.world.clock.Now()+d), cancel
+	deadline := i.world.clock.Now() + d
+	return context.WithValue(bounded, deadlineKey{}, func() time.Duration { return deadline }), cancel
 }
 
 // deadlineOf returns the deadline of a context in virtual time, or the fallback if it
-// has none.
+// has none. That of a context that has ended is 0.
 func deadlineOf(ctx context.Context, fallback time.Duration) time.Duration {
-	if d, ok := ctx.Value(deadlineKey{}).(time.Duration); ok {
-		return d
+	if ctx.Err() != nil {
+		return 0
+	}
+	if d, ok := ctx.Value(deadlineKey{}).(func() time.Duration); ok {
+		return d()
 	}
 	return fallback
 }
@@ -316,42 +333,43 @@
 func (i *instance) Fetch(ctx context.Context, from netip.AddrPort, after uint64) (replica.Batch, error) {
 	other, known := i.world.byPeerAddress[from]
 	clock, network := i.world.clock, i.world.network
-	deadline := deadlineOf(ctx, clock.Now()+time.Second)
-	var body []byte
-	var err error
-	answered := false
+	deadline := func() time.Duration { return deadlineOf(ctx, clock.Now()+time.Second) }
+	first := deadline()
+	var arriving *arrivingBody
+	err := errNoPeerAnswer
 	clock.Wait(func(done func()) {
-		clock.At(deadline, done)
+		clock.At(first, done)
 		if !known {
 			return
 		}
-		network.sendStream(&i.node, &other.node, deadline, func() {
+		network.sendStream(&i.node, &other.node, first, func() {
 			other.whenRunning(func() {
 				if other.engine == nil {
 					return
 				}
-				body, err = wire.EncodeBatch(other.engine.Since(after))
-				wait, _ := network.queueOnLink(&other.node, len(body)/compressionRatio)
-				clock.After(wait, func() {
-					network.sendStream(&other.node, &i.node, deadline, func() {
-						answered = true
-						i.whenRunning(done)
-					})
+				var body []byte
+				if body, err = other.engine.ServeFetch(after); err != nil {
+					network.sendStream(&other.node, &i.node, first, done)
+					return
+				}
+				arriving = &arrivingBody{clock: clock, ctx: ctx, deadline: deadline, data: body}
+				network.sendTransfer(transferOf{
+					from: &other.node, to: &i.node, size: len(body), deadline: deadline,
+					deliver: func(arrived int) {
+						i.whenRunning(func() {
+							arriving.extend(arrived)
+							done()
+						})
+					},
 				})
 			})
 		})
 	})
-	switch {
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
 		return replica.Batch{}, ctx.Err()
-	case err != nil:
+	}
+	if arriving == nil {
 		return replica.Batch{}, err
-	case !answered:
-		return replica.Batch{}, errNoPeerAnswer
 	}
-	return wire.DecodeBatch(body)
+	return entry.DecodeFetch(transfer.Reader(ctx, int64(len(arriving.data)), arriving))
 }
-
-// compressionRatio is the ratio at which a fetched batch is compressed: a replica of
-// 100 KB takes 10 KB.
-const compressionRatio = 10
--- a/pkg/emulation/network.go
+++ b/pkg/emulation/network.go
@@ -33,6 +33,8 @@
 	// linkFree the time when all packets queued on the link have left.
 	bytesPerSecond float64
 	linkFree       time.Duration
+	// inboundFree is the time when all streams that arrive have been received.
+	inboundFree time.Duration
 }
 
 // undisturbed reports whether no fault has affected the node for a time.
@@ -110,11 +112,10 @@
 		return 0, true
 	}
 	now := n.clock.Now()
-	free := max(from.linkFree, now)
-	if free-now > maxLinkDelay {
+	if from.linkFree-now > maxLinkDelay {
 		return 0, false
 	}
-	from.linkFree = free + time.Duration(float64(bytes)/from.bytesPerSecond*float64(time.Second))
+	from.linkFree = linkFreeAfter(now, from.linkFree, bytes, from.bytesPerSecond)
 	return from.linkFree - now, true
 }
 
@@ -138,6 +139,61 @@
 	}
 }
 
+// streamWindow is how many bytes of a transfer are under way at a time: connections
+// have small windows, so that transfers share a link in turn.
+const streamWindow = 16 << 10
+
+// transferOf is the delivery of a long message over one connection, window by window.
+type transferOf struct {
+	network  *network
+	from, to *node
+	// size is the length of the message in bytes, and sent how many of them have left.
+	size, sent int
+	// deadline returns the time at which the receiver gives up.
+	deadline func() time.Duration
+	// deliver is called with the number of bytes that have arrived so far.
+	deliver func(arrived int)
+}
+
+// sendTransfer delivers a message of that many bytes at the rate of the two links.
+func (n *network) sendTransfer(t transferOf) {
+	t.network = n
+	t.next(firstStreamRetry)
+}
+
+// next sends the next window. While either direction is cut, it tries again until
+// the deadline, first after the given time.
+func (t transferOf) next(retry time.Duration) {
+	n := t.network
+	now := n.clock.Now()
+	reached := n.reaches(t.from, t.to) && n.reaches(t.to, t.from)
+	if now >= t.deadline() || !reached && now+retry >= t.deadline() {
+		return
+	}
+	if !reached {
+		n.clock.After(retry, func() { t.next(2 * retry) })
+		return
+	}
+	window := min(streamWindow, t.size-t.sent)
+	t.from.linkFree = linkFreeAfter(now, t.from.linkFree, window, t.from.bytesPerSecond)
+	t.to.inboundFree = linkFreeAfter(now, t.to.inboundFree, window, t.to.bytesPerSecond)
+	left := max(t.from.linkFree, t.to.inboundFree, now)
+	t.sent += window
+	n.clock.At(left+n.delay(t.from, t.to), func() { t.deliver(t.sent) })
+	if t.sent < t.size {
+		n.clock.At(left, func() { t.next(firstStreamRetry) })
+	}
+}
+
+// linkFreeAfter returns when a link that was to be free at the given time is free
+// again after it has carried some more bytes.
+func linkFreeAfter(now, free time.Duration, bytes int, bytesPerSecond float64) time.Duration {
+	if bytesPerSecond == 0 {
+		return free
+	}
+	return max(free, now) + time.Duration(float64(bytes)/bytesPerSecond*float64(time.Second))
+}
+
 // addCut puts a cut in force and returns a function that removes it.
 func (n *network) addCut(blocks func(from, to *node) bool) (heal func()) {
 	c := &cut{blocks: blocks}
--- a/pkg/emulation/operator.go
+++ b/pkg/emulation/operator.go
@@ -35,6 +35,8 @@
 	// servicesOfRoute holds the services that any configuration so far gave each
 	// route.
 	servicesOfRoute map[netip.AddrPort]map[string]bool
+	// addedIn holds the version that added each route.
+	addedIn map[netip.AddrPort]version
 	// evacuatedAt holds, for each data centre that is out now, when it was taken out.
 	evacuatedAt map[string]time.Duration
 	// idleRoutesAdded is how many routes without callers were ever added; it numbers
@@ -59,6 +61,8 @@
 	route                  netip.AddrPort
 	version                version
 	acknowledgedAt, sentAt time.Duration
+	// addedIn is the version that added the route.
+	addedIn version
 }
 
 // routeOf returns the endpoint of the route of the class with this index.
@@ -119,6 +123,7 @@
 	for _, r := range c.Routes {
 		if o.servicesOfRoute[r.Endpoint] == nil {
 			o.servicesOfRoute[r.Endpoint] = make(map[string]bool)
+			o.addedIn[r.Endpoint] = c.Version
 		}
 		for _, s := range r.Shares {
 			o.servicesOfRoute[r.Endpoint][s.Service] = true
@@ -165,6 +170,7 @@
 // instance.
 func (o *operator) startRouteChecks(check routeCheck) {
 	w := o.world
+	check.addedIn = o.addedIn[check.route]
 	end := w.clock.Now() + routeCheckTime
 	var next func()
 	next = func() {
--- a/pkg/emulation/store.go
+++ b/pkg/emulation/store.go
@@ -1,7 +1,6 @@
 package emulation
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -195,8 +194,8 @@
 // one.
 func (t *storeTransport) CloseIdleConnections() { t.silent = false }
 
-// RoundTrip sends a call and suspends the instance's process until the answer or the
-// deadline.
+// RoundTrip sends a call and suspends the instance's process until the answer begins
+// to arrive, or until the deadline. Reading the answer's body suspends it again.
 func (t *storeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	body := []byte(nil)
 	if r.Body != nil {
@@ -205,36 +204,91 @@
 			return nil, errors.Wrap(err, "read the body of a call to the store")
 		}
 	}
-	answer, ok := t.call(r.Context(), call{from: t.instance.name, method: r.Method, target: r.URL, body: body})
+	answer, arriving := t.call(r.Context(), call{from: t.instance.name, method: r.Method, target: r.URL, body: body})
 	if err := r.Context().Err(); err != nil {
 		return nil, err
 	}
-	if !ok {
+	if arriving == nil {
 		t.silent = false
 		return nil, errNoAnswer
 	}
-	return &http.Response{StatusCode: answer.Status, Body: io.NopCloser(bytes.NewReader(answer.Body)), Request: r}, nil
+	return &http.Response{StatusCode: answer.Status, ContentLength: int64(len(answer.Body)), Body: arriving, Request: r}, nil
 }
 
-func (t *storeTransport) call(ctx context.Context, c call) (answer Answer, ok bool) {
+// call makes a call. It returns a nil body if no answer came before the deadline.
+func (t *storeTransport) call(ctx context.Context, c call) (Answer, *arrivingBody) {
 	clock, i, silent := t.store.clock, t.instance, t.silent
-	deadline := deadlineOf(ctx, clock.Now()+time.Minute)
+	deadline := func() time.Duration { return deadlineOf(ctx, clock.Now()+time.Minute) }
+	first := deadline()
+	var answer Answer
+	var body *arrivingBody
 	clock.Wait(func(done func()) {
-		clock.At(deadline, done)
+		clock.At(first, done)
 		if silent {
 			return
 		}
 		c.respond = func(a Answer) {
-			t.store.network.sendStream(&t.store.node, &i.node, deadline, func() {
-				i.whenRunning(func() {
-					if !ok {
-						answer, ok = a, true
-						done()
-					}
-				})
+			t.store.network.sendTransfer(transferOf{
+				from: &t.store.node, to: &i.node, size: len(a.Body), deadline: deadline,
+				deliver: func(arrived int) {
+					i.whenRunning(func() {
+						if body == nil {
+							answer, body = a, &arrivingBody{clock: clock, ctx: ctx, deadline: deadline, data: a.Body}
+							done()
+						}
+						body.extend(arrived)
+					})
+				},
 			})
 		}
-		t.store.network.sendStream(&i.node, &t.store.node, deadline, func() { t.store.receive(c) })
+		t.store.network.sendStream(&i.node, &t.store.node, first, func() { t.store.receive(c) })
 	})
-	return answer, ok
+	return answer, body
 }
+
+// arrivingBody is the body of an answer that arrives window by window.
+type arrivingBody struct {
+	clock    *timeline.Timeline
+	ctx      context.Context
+	deadline func() time.Duration
+	data     []byte
+	// arrived and read are how many bytes have arrived, and were read.
+	arrived, read int
+	// wake resumes the process that waits for more, nil for none.
+	wake func()
+}
+
+func (b *arrivingBody) extend(arrived int) {
+	b.arrived = arrived
+	if b.wake != nil {
+		b.wake()
+	}
+}
+
+// Read returns what has arrived. It suspends the process until there is something, and
+// fails if the deadline passes first.
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	for b.read == b.arrived && b.read < len(b.data) {
+		switch deadline := b.deadline(); {
+		case b.ctx.Err() != nil:
+			return 0, b.ctx.Err()
+		case b.clock.Now() >= deadline:
+			return 0, errNoAnswer
+		default:
+			b.clock.Wait(func(done func()) {
+				b.wake = done
+				b.clock.At(deadline, done)
+			})
+			b.wake = nil
+		}
+	}
+	if b.read == len(b.data) {
+		return 0, io.EOF
+	}
+	n := copy(p, b.data[b.read:b.arrived])
+	b.read += n
+	return n, nil
+}
+
+// Close does nothing.
+func (b *arrivingBody) Close() error { return nil }
--- a/pkg/emulation/world.go
+++ b/pkg/emulation/world.go
@@ -106,7 +106,7 @@
 		node: node{role: storeRole, name: "store", disturbedUntil: beforeDay}, clock: w.clock, network: w.network, random: w.newRandom(storeStream),
 		settings: d.Store, keys: w.platform.NewKeys(d.Store.PageKeys), refused: make(map[string]refusal), leaseEnds: make(map[uint64]time.Duration),
 	}
-	w.operator = &operator{world: w, random: w.newRandom(operatorStream), servicesOfRoute: make(map[netip.AddrPort]map[string]bool), evacuatedAt: make(map[string]time.Duration)}
+	w.operator = &operator{world: w, random: w.newRandom(operatorStream), servicesOfRoute: make(map[netip.AddrPort]map[string]bool), addedIn: make(map[netip.AddrPort]version), evacuatedAt: make(map[string]time.Duration)}
 	w.checker = &checker{world: w, runs: make(map[*request]int)}
 	w.tally = newTally(w)
 	for n, c := range d.Classes {
@@ -194,6 +194,7 @@
 	b := w.day.Bounds
 	o.MaxFlow, o.ColdFactor, o.ColdSlack = b.MaxFlow, b.ColdFactor, b.ColdSlack
 	o.Seed = w.seed<<16 + uint64(slices.Index(w.instances, i))<<8 + uint64(i.boot)
+	o.LinkBytesPerSecond = i.bytesPerSecond
 	o.Policy = w.design.policyFor(w, i)
 	o.Logger = w.logger(i)
 	return o
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/transfer"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 )
 
@@ -19,6 +20,9 @@
 	Pause(ctx context.Context, d time.Duration)
 	// Deadline returns a context that ends after d.
 	Deadline(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc)
+	// Transfer returns a context that ends with the cause transfer.ErrStopped once a
+	// response stops to arrive. Calls with it report to its trace.
+	Transfer(ctx context.Context, l transfer.Limit) (context.Context, context.CancelCauseFunc)
 	// AcceptPackets starts the reception of callers' packets. Later calls have no
 	// effect.
 	AcceptPackets()
@@ -28,7 +32,8 @@
 	// SendMessage sends a message to another instance. It may be lost, and the slice
 	// isn't kept.
 	SendMessage(datagram []byte, to netip.AddrPort)
-	// Fetch requests the changes after a revision from another instance.
+	// Fetch requests the changes after a revision from another instance. The error is
+	// ErrBusy if that one serves too many fetches.
 	Fetch(ctx context.Context, from netip.AddrPort, after uint64) (replica.Batch, error)
 }
 
@@ -44,7 +49,9 @@
 	readiness *readiness
 	fetcher   *fetcher
 	exchange  *exchange
+	replicas  *replicaServer
 	follower  *follower
+	early     *earlyReader
 	registrar *registrar
 }
 
@@ -60,7 +67,10 @@
 	e.fetcher = newFetcher(o, e.state, h)
 	e.exchange = newExchange(o, e.state, e.decider, e.fetcher, h)
 	e.fetcher.relay = e.exchange.relay
-	e.follower = newFollower(o, e.state, e.exchange.push, h)
+	link := &linkBudget{bytesPerSecond: o.LinkBytesPerSecond}
+	e.replicas = newReplicaServer(o, e.state, link, h.Now)
+	e.follower = newFollower(o, e.state, link, e.exchange.push, h)
+	e.early = newEarlyReader(o, e.state, e.follower, e.exchange.push, h)
 	var err error
 	if e.registrar, err = newRegistrar(o, e.state, h); err != nil {
 		return nil, err
@@ -95,6 +105,10 @@
 // the context ends.
 func (e *Engine) Follow(ctx context.Context) { e.follower.run(ctx) }
 
+// FollowEarly reads urgent changes while a large one arrives from the store, until the
+// context ends.
+func (e *Engine) FollowEarly(ctx context.Context) { e.early.run(ctx) }
+
 // Register keeps the instance registered in the store until the context ends.
 func (e *Engine) Register(ctx context.Context) { e.registrar.run(ctx) }
 
@@ -110,8 +124,10 @@
 	}
 }
 
-// Since returns the changes of this instance's replica after a revision.
-func (e *Engine) Since(revision uint64) replica.Batch { return e.state.since(revision) }
+// ServeFetch returns the response to another instance's fetch of the changes after a
+// revision, as [DecodeFetch] reads it. The error is ErrBusy if this instance serves too
+// many fetches.
+func (e *Engine) ServeFetch(after uint64) ([]byte, error) { return e.replicas.admit(after) }
 
 // Ready reports whether routers may send packets to this instance.
 func (e *Engine) Ready() bool { return e.readiness.isReady() }
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -53,9 +53,9 @@
 type Store interface {
 	// ReadAll returns all keys.
 	ReadAll(ctx context.Context) (replica.Batch, error)
-	// Watch waits up to the given time for changes after a revision. A batch
-	// without changes means that there were none.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (replica.Batch, error)
+	// Watch waits up to the given time for changes after a revision to keys that
+	// begin with the prefix. A batch without changes means that there were none.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (replica.Batch, error)
 	// Grant creates a lease and returns its number and the time that it lasts.
 	Grant(ctx context.Context, ttl time.Duration) (lease uint64, lasts time.Duration, err error)
 	// Renew extends a lease by the time that it lasts.
@@ -95,9 +95,15 @@
 	// history it needs, so that all keys have to be read again.
 	HistoryGone func(error) bool
 	Translate   Translate
+	// EarlyPrefixes are the prefixes of small, urgent keys, whose changes are read
+	// early while a large change of another key arrives.
+	EarlyPrefixes []string
 	// EncodeInstance returns the key and value that register an instance in the
 	// store.
 	EncodeInstance func(directory.Instance) (key string, value []byte, err error)
+	// LinkBytesPerSecond is the bandwidth of the machine's link, 0 if unknown. What
+	// other instances fetch is kept to a share of it.
+	LinkBytesPerSecond float64
 	// MaxFlow is how long a flow may last.
 	MaxFlow time.Duration
 	// ColdFactor and ColdSlack are passed to forwarding.Options.
@@ -142,19 +148,19 @@
 		return err
 	}
 	i.engine = engine
-	if err := i.serve(engine.state); err != nil {
+	if err := i.serve(); err != nil {
 		return err
 	}
 	i.start(sockets.receiver.run, func() { sockets.run(engine.exchange.receive) }, func() { engine.decider.run(ctx, sockets.receiver) })
-	for _, run := range []func(context.Context){engine.follower.run, engine.exchange.run, engine.fetcher.run, engine.registrar.run} {
+	for _, run := range []func(context.Context){engine.follower.run, engine.early.run, engine.exchange.run, engine.fetcher.run, engine.registrar.run} {
 		i.start(func() { run(ctx) })
 	}
 	return nil
 }
 
 // serve starts the HTTP servers for other instances, routers and metrics.
-func (i *Instance) serve(s *state) error {
-	replicas, err := newReplicaServer(i.options, s)
+func (i *Instance) serve() error {
+	replicas, err := i.engine.replicas.listen(i.options)
 	if err != nil {
 		return err
 	}
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -58,7 +58,7 @@
 		e.relay()
 	}
 	if newer {
-		e.fetcher.request(source{endpoint: m.Hello.From.Endpoint, otherDataCentre: otherDataCentre})
+		e.fetcher.request(source{endpoint: m.Hello.From.Endpoint, otherDataCentre: otherDataCentre, position: position{revision: m.Hello.Revision, early: m.Hello.EarlyRevision}})
 	}
 	if m.Hello.From.DataCentre == e.dataCentre && len(m.Loads) > 0 {
 		e.decider.queuePeerLoads(peerLoads{name: m.Hello.From.Name, loads: m.Loads, aliveInstances: e.state.aliveInstances()})
--- a/pkg/process/entry/fetcher.go
+++ b/pkg/process/entry/fetcher.go
@@ -1,27 +1,35 @@
 package entry
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/gzip"
 
+	"github.com/tanagerweir/tanagerweir/pkg/transfer"
 	wire "github.com/tanagerweir/tanagerweir/service/entry"
 )
 
 const (
 	// changesPath is the HTTP path at which an instance serves its replica.
 	changesPath = "/changes"
-	// fetchDeadline bounds one fetch: a replica of 100 KB compresses to 10 KB, which
-	// a link of 10 Mbit/s carries to twenty instances in 0.2 s.
-	fetchDeadline = time.Second
+	// fetchSilence is how long a fetch may bring nothing, and how long its client may
+	// take for a part of it.
+	fetchSilence = time.Second
+	// busyPause and busyJitter bound the pause until a refused fetch is repeated.
+	busyPause, busyJitter = 100 * time.Millisecond, 100 * time.Millisecond
+	// fetchPart is the number of bytes of a response that are written at a time.
+	fetchPart = 16 << 10
 	// maxFetchBytes bounds the decompressed body of one fetch.
 	maxFetchBytes = 16 << 20
 )
@@ -31,19 +39,27 @@
 	state    *state
 	log      *slog.Logger
 	host     Host
+	random   *rand.Rand
 	requests chan source
 	// relay announces changes from another data centre to the instances of this one.
 	relay func()
 }
 
+// fetchStream distinguishes the fetcher's stream of random numbers from others of the
+// same seed.
+const fetchStream = 2
+
 // source is an instance with a newer replica.
 type source struct {
 	endpoint        netip.AddrPort
 	otherDataCentre bool
+	position        position
 }
 
 func newFetcher(o Options, s *state, h Host) *fetcher {
-	return &fetcher{state: s, log: o.Logger, host: h, requests: make(chan source, 1)}
+	return &fetcher{
+		state: s, log: o.Logger, host: h, random: rand.New(rand.NewPCG(o.Seed, fetchStream)), requests: make(chan source, 1),
+	}
 }
 
 // request asks for a fetch from an instance; it does nothing while another request
@@ -67,67 +83,156 @@
 	}
 }
 
+// fetch makes a fetch, unless the replica has got the changes meanwhile. If the source
+// is busy, it is asked again after a pause, or another one that is known by then.
 func (f *fetcher) fetch(ctx context.Context, from source) {
-	ctx, cancel := f.host.Deadline(ctx, fetchDeadline)
-	defer cancel()
-	before := f.state.revision()
-	b, err := f.host.Fetch(ctx, from.endpoint, before)
-	if err != nil {
-		f.log.Info("Exchange: changes can't be fetched from another instance.", "From", from.endpoint, "Error", err)
+	if f.state.position().covers(from.position) {
 		return
 	}
+	if err := f.fetchNow(ctx, from); errors.Is(err, ErrBusy) {
+		f.host.Pause(ctx, busyPause+time.Duration(f.random.Int64N(int64(busyJitter))))
+		f.request(from)
+	} else if err != nil {
+		f.log.Info("Exchange: changes can't be fetched from another instance.", "From", from.endpoint, "Error", err)
+	}
+}
+
+func (f *fetcher) fetchNow(ctx context.Context, from source) error {
+	ctx, cancel := f.host.Transfer(ctx, transfer.Limit{First: fetchSilence, Silence: fetchSilence})
+	defer cancel(nil)
+	before := f.state.position()
+	b, err := f.host.Fetch(ctx, from.endpoint, before.revision)
+	if err != nil {
+		return err
+	}
 	if !f.state.applyBatch(b, from.endpoint.String()) {
-		f.log.Info("Exchange: fetched changes don't begin at the replica's revision.", "From", from.endpoint, "After", b.After, "Revision", f.state.revision())
-		return
+		return errors.Errorf("changes begin after revision %d, beyond the replica's %d", b.After, f.state.revision())
 	}
-	if from.otherDataCentre && f.state.revision() > before {
+	if from.otherDataCentre && !before.covers(f.state.position()) {
 		f.relay()
 	}
+	return nil
 }
 
+// ErrBusy says that an instance serves as many fetches as its link may carry now.
+var ErrBusy = errors.New("entry: the instance serves other fetches")
+
 // replicaServer serves the instance's replica to other instances.
 type replicaServer struct {
 	state *state
 	log   *slog.Logger
+	now   func() time.Duration
+	link  *linkBudget
+
+	mu sync.Mutex
+	// cached is the response to a fetch of cachedBatch.
+	cached      []byte
+	cachedBatch batchRange
+}
+
+// batchRange identifies a batch of one instance's replica.
+type batchRange struct {
+	after uint64
+	until position
 }
 
-func newReplicaServer(o Options, s *state) (*webServer, error) {
+func newReplicaServer(o Options, s *state, link *linkBudget, now func() time.Duration) *replicaServer {
+	return &replicaServer{state: s, log: o.Logger, now: now, link: link}
+}
+
+// listen returns the HTTP server for the fetches of other instances.
+func (s *replicaServer) listen(o Options) (*webServer, error) {
 	listener, err := net.Listen("tcp4", o.Peers.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for instances' fetches")
 	}
-	server := replicaServer{state: s, log: o.Logger}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+changesPath, server.serve)
-	return newWebServer("Exchange", listener, mux, fetchDeadline, o.Logger), nil
+	mux.HandleFunc("GET "+changesPath, s.serve)
+	return newWebServer("Exchange", listener, mux, webLimits{header: fetchSilence}, o.Logger), nil
 }
 
-func (s replicaServer) serve(w http.ResponseWriter, r *http.Request) {
+func (s *replicaServer) serve(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after must be a revision", http.StatusBadRequest)
 		return
 	}
-	body, err := wire.EncodeBatch(s.state.since(after))
+	body, err := s.admit(after)
+	if errors.Is(err, ErrBusy) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if err != nil {
 		s.log.Error("Exchange: the replica can't be encoded for another instance.", "Error", err)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if err := writeCompressed(w, body); err != nil {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if err := writeInParts(w, body); err != nil {
 		s.log.Info("Exchange: the response to a fetch can't be sent.", "Error", err)
 	}
 }
 
-// writeCompressed writes a body with gzip. Stateless compression keeps no memory
-// between fetches.
-func writeCompressed(w io.Writer, body []byte) error {
-	compressor, err := gzip.NewWriterLevel(w, gzip.StatelessCompression)
+// admit returns the response to a fetch, or ErrBusy if the link's share is used up.
+func (s *replicaServer) admit(after uint64) ([]byte, error) {
+	if !s.link.free(s.now()) {
+		return nil, ErrBusy
+	}
+	body, err := s.encode(after)
+	s.link.spend(s.now(), len(body))
+	return body, err
+}
+
+// encode returns the compressed changes after a revision. After a change many
+// instances ask for the same ones.
+func (s *replicaServer) encode(after uint64) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asked := batchRange{after: after, until: s.state.position()}
+	if s.cached != nil && s.cachedBatch == asked {
+		return s.cached, nil
+	}
+	body, err := wire.EncodeBatch(s.state.since(after))
 	if err != nil {
-		return err
+		return nil, err
+	}
+	compressed, err := compress(body)
+	if err != nil {
+		return nil, err
+	}
+	s.cached, s.cachedBatch = compressed, asked
+	return compressed, nil
+}
+
+func compress(body []byte) ([]byte, error) {
+	var b bytes.Buffer
+	// Stateless compression keeps no memory between fetches.
+	compressor, err := gzip.NewWriterLevel(&b, gzip.StatelessCompression)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress a batch")
 	}
 	if _, err := compressor.Write(body); err != nil {
-		return err
+		return nil, errors.Wrap(err, "compress a batch")
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress a batch")
+	}
+	return b.Bytes(), nil
+}
+
+// writeInParts writes a body and gives up once a part takes longer than fetchSilence.
+func writeInParts(w http.ResponseWriter, body []byte) error {
+	controller := http.NewResponseController(w)
+	for part := range slices.Chunk(body, fetchPart) {
+		if err := controller.SetWriteDeadline(time.Now().Add(fetchSilence)); err != nil {
+			return errors.Wrap(err, "set the deadline of a part")
+		}
+		if _, err := w.Write(part); err != nil {
+			return errors.Wrap(err, "write a part")
+		}
+		if err := controller.Flush(); err != nil {
+			return errors.Wrap(err, "send a part")
+		}
 	}
-	return compressor.Close()
+	return nil
 }
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -4,9 +4,13 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
+	"github.com/tanagerweir/tanagerweir/pkg/transfer"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 )
 
@@ -15,9 +19,15 @@
 	// confirms the replica; instances follow the store themselves after 1.7 s
 	// without a confirmation.
 	watchWait = 800 * time.Millisecond
-	// callSlack is the time that a response may take beyond watchWait: the store
-	// answers in 4 ms, and in a few hundred when it is slow.
+	// callSlack is the time that a response may take to begin beyond watchWait: the
+	// store answers in 4 ms, and in a few hundred when it is slow.
 	callSlack = 500 * time.Millisecond
+	// transferSilence is how long a response that has begun may bring less than
+	// transferStep: lost packets are sent again after 200 ms, and again after 400 ms.
+	transferSilence = time.Second
+	// transferStep is the number of bytes that count as progress. A link of 1 Mbit/s
+	// carries thirty times as many in transferSilence.
+	transferStep = 4 << 10
 	// burstPause is the pause after changes, so that a burst of them takes fewer
 	// calls. The users' rules allow 3 s for a change to take effect.
 	burstPause = 120 * time.Millisecond
@@ -32,11 +42,24 @@
 	maxBackoff     = 1500 * time.Millisecond
 )
 
+// storeLimit bounds one call to the store.
+var storeLimit = transfer.Limit{First: watchWait + callSlack, Silence: transferSilence, MinBytes: transferStep}
+
+var (
+	// errMoreThanAll ends a watch that returns more than all keys hold, as after many
+	// changes of one large key.
+	errMoreThanAll = errors.New("entry: the changes are larger than all keys")
+	// errReplicaArrived ends the first reading of all keys once another instance has
+	// sent them.
+	errReplicaArrived = errors.New("entry: another instance has sent all keys")
+)
+
 // follower reads changes from the platform's store while the instance is the one
 // that follows it.
 type follower struct {
 	store Store
 	state *state
+	link  *linkBudget
 	// push announces changes from the store to other instances.
 	push        func()
 	historyGone func(error) bool
@@ -47,13 +70,21 @@
 	failedCalls int
 	// readAll is set when the next call has to read all keys instead of watching.
 	readAll bool
+	// loadingSince is when the response to the present call began or should have begun,
+	// in nanoseconds since the start, or notLoading.
+	loadingSince atomic.Int64
 }
 
-func newFollower(o Options, s *state, push func(), h Host) *follower {
-	return &follower{
-		store: o.Store, state: s, push: push, historyGone: o.HistoryGone, log: o.Logger, host: h,
+// notLoading says that no call is being made.
+const notLoading = -1
+
+func newFollower(o Options, s *state, link *linkBudget, push func(), h Host) *follower {
+	f := &follower{
+		store: o.Store, state: s, link: link, push: push, historyGone: o.HistoryGone, log: o.Logger, host: h,
 		random: rand.New(rand.NewPCG(o.Seed, uint64(len(o.Name)))), readAll: true,
 	}
+	f.loadingSince.Store(notLoading)
+	return f
 }
 
 // run follows the store whenever the instance has to, until the context ends.
@@ -99,21 +130,67 @@
 	return nil
 }
 
+// readStore makes the call. It gives up a response only if that stops to arrive, or
+// isn't needed any more.
 func (f *follower) readStore(ctx context.Context) (replica.Batch, error) {
-	ctx, cancel := f.host.Deadline(ctx, watchWait+callSlack)
-	defer cancel()
-	if f.readAll || f.state.revision() == 0 {
+	ctx, cancel := f.host.Transfer(ctx, storeLimit)
+	defer cancel(nil)
+	defer f.loadingSince.Store(notLoading)
+	atStart := f.state.revision() == 0
+	whole := f.readAll || atStart
+	most, received := max(int64(f.state.size()), f.link.abandonedSize()), int64(0)
+	due := f.host.Now()
+	if !whole {
+		due += watchWait
+	}
+	f.loadingSince.Store(int64(due))
+	ctx = transfer.WithTrace(ctx, transfer.Trace{
+		Began: func(size int64) {
+			f.loadingSince.Store(min(int64(due), int64(f.host.Now())))
+			if !whole && size > most {
+				cancel(errMoreThanAll)
+			}
+		},
+		Received: func(bytes int) {
+			f.state.progress()
+			received += int64(bytes)
+			switch {
+			case !whole && received > most:
+				cancel(errMoreThanAll)
+			case atStart && f.state.revision() > 0:
+				cancel(errReplicaArrived)
+			}
+		},
+	})
+	if whole {
 		return f.store.ReadAll(ctx)
 	}
-	return f.store.Watch(ctx, f.state.revision(), watchWait)
+	return f.store.Watch(ctx, "", f.state.revision(), watchWait)
+}
+
+// loadingFor returns for how long the response to the present call has been arriving or
+// overdue, 0 or less if it isn't.
+func (f *follower) loadingFor() time.Duration {
+	if since := f.loadingSince.Load(); since != notLoading {
+		return f.host.Now() - time.Duration(since)
+	}
+	return 0
 }
 
 // handleFailure logs a failed call and sets up the next one.
 func (f *follower) handleFailure(err error) {
-	if f.historyGone(err) {
+	switch {
+	case errors.Is(err, errReplicaArrived):
+		f.readAll = false
+		return
+	case f.historyGone(err):
 		f.readAll = true
 		f.log.InfoContext(logs.Always(), "Follower: the store dropped its history; reading all keys.", "Revision", f.state.revision())
 		return
+	case errors.Is(err, errMoreThanAll):
+		f.readAll = true
+		f.log.InfoContext(logs.Always(), "Follower: the changes are larger than all keys; reading all keys.", "Revision", f.state.revision())
+		return
 	}
 	f.failedCalls++
 	f.log.WarnContext(logs.Always(), "Follower: the store can't be read.", "Error", err, "Failed", f.failedCalls, "Revision", f.state.revision())
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -101,5 +101,5 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
-	return newWebServer("Metrics", listener, mux, metricsDeadline, o.Logger), nil
+	return newWebServer("Metrics", listener, mux, webLimits{header: metricsDeadline, response: metricsDeadline}, o.Logger), nil
 }
--- a/pkg/process/entry/ready.go
+++ b/pkg/process/entry/ready.go
@@ -38,5 +38,5 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return newWebServer("Ready", listener, mux, readyDeadline, o.Logger), nil
+	return newWebServer("Ready", listener, mux, webLimits{header: readyDeadline, response: readyDeadline}, o.Logger), nil
 }
--- a/pkg/process/entry/sockets.go
+++ b/pkg/process/entry/sockets.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/gzip"
 
+	"github.com/tanagerweir/tanagerweir/pkg/transfer"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 	wire "github.com/tanagerweir/tanagerweir/service/entry"
 )
@@ -86,6 +87,30 @@
 	return context.WithTimeout(ctx, d)
 }
 
+// Transfer returns a context that ends once a response stops to arrive. Calls with it
+// report to its trace.
+func (s *sockets) Transfer(ctx context.Context, l transfer.Limit) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	meter := transfer.NewMeter(s.Now(), l)
+	timer := time.AfterFunc(l.First, func() { cancel(transfer.ErrStopped) })
+	context.AfterFunc(ctx, func() { timer.Stop() })
+	restart := func() {
+		if ctx.Err() == nil {
+			timer.Reset(meter.Deadline() - s.Now())
+		}
+	}
+	return transfer.WithTrace(ctx, transfer.Trace{
+		Began: func(int64) {
+			meter.Begin(s.Now())
+			restart()
+		},
+		Received: func(bytes int) {
+			meter.Receive(s.Now(), bytes)
+			restart()
+		},
+	}), cancel
+}
+
 // AcceptPackets starts the reception of callers' packets. Later calls have no effect.
 func (s *sockets) AcceptPackets() { s.receiver.start() }
 
@@ -119,10 +144,19 @@
 			err = errors.Wrap(closing, "close fetch response")
 		}
 	}()
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		return replica.Batch{}, ErrBusy
+	default:
 		return replica.Batch{}, errors.Errorf("instance answered the fetch with status %d", response.StatusCode)
 	}
-	unpacked, err := gzip.NewReader(response.Body)
+	return DecodeFetch(transfer.Reader(ctx, response.ContentLength, response.Body))
+}
+
+// DecodeFetch reads the response to a fetch.
+func DecodeFetch(response io.Reader) (replica.Batch, error) {
+	unpacked, err := gzip.NewReader(response)
 	if err != nil {
 		return replica.Batch{}, errors.Wrap(err, "decompress fetch response")
 	}
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -51,6 +51,43 @@
 	return s.replica.Revision()
 }
 
+// position is how far a replica has come.
+type position struct {
+	revision uint64
+	// early is the revision of the latest early change, 0 if there is none.
+	early uint64
+}
+
+// covers reports whether a replica at this position has all that one at the other has.
+func (p position) covers(other position) bool {
+	return p.revision >= other.revision && max(p.revision, p.early) >= other.early
+}
+
+// position returns how far the replica has come.
+func (s *state) position() position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.positionLocked()
+}
+
+func (s *state) positionLocked() position {
+	return position{revision: s.replica.Revision(), early: s.replica.EarlyRevision()}
+}
+
+// size returns about how many bytes the store's response with all keys has.
+func (s *state) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replica.EncodedSize()
+}
+
+// progress records that the instance receives something from the store.
+func (s *state) progress() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members.Progress(s.now())
+}
+
 // updateFollowing starts to follow the store if the replica is stale, and reports
 // whether the instance follows.
 func (s *state) updateFollowing() bool {
@@ -81,10 +118,26 @@
 	return s.applyLocked(b, from)
 }
 
+// applyEarly applies changes that come after the replica's revision, although others
+// before them are missing. It reports whether any was new.
+func (s *state) applyEarly(changes []replica.Change, from string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	applied := s.replica.ApplyEarly(changes)
+	s.translateLocked(applied, from)
+	return len(applied) > 0
+}
+
 func (s *state) applyLocked(b replica.Batch, from string) bool {
 	changes, ok := s.replica.Apply(b)
-	if !ok || len(changes) == 0 {
-		return ok
+	s.translateLocked(changes, from)
+	return ok
+}
+
+// translateLocked applies changes of the replica to the directory.
+func (s *state) translateLocked(changes []replica.Change, from string) {
+	if len(changes) == 0 {
+		return
 	}
 	before := s.directory
 	next, problems := s.translate(before, changes)
@@ -96,9 +149,8 @@
 	s.logChanges(before, next, from)
 	s.decider.queueDirectory(next)
 	if next.Version() > 0 && s.readiness.setConfigured() {
-		s.log.InfoContext(logs.Always(), "Instance: ready.", "Version", next.Version(), "Revision", b.Revision, "After", s.now(), "From", from)
+		s.log.InfoContext(logs.Always(), "Instance: ready.", "Version", next.Version(), "Revision", s.replica.Revision(), "After", s.now(), "From", from)
 	}
-	return true
 }
 
 func registeredMembers(d directory.Directory) []membership.Member {
@@ -120,23 +172,23 @@
 
 // receiveHello handles another instance's hello and the changes sent with it, if
 // any. It reports whether the changes advanced the replica, and whether the other
-// instance's replica is newer still.
+// instance's replica has still more.
 func (s *state) receiveHello(h membership.Hello, b *replica.Batch) (advanced, newer bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.replica.Revision()
+	before := s.positionLocked()
 	if b != nil {
 		s.applyLocked(*b, h.From.Name)
 	}
-	own := s.replica.Revision()
-	current := own > 0 && own >= h.Revision && h.Revision > 0
+	own := s.positionLocked()
+	current := own.revision > 0 && own.revision >= h.Revision && h.Revision > 0
 	following := s.members.Following()
 	s.members.ReceiveHello(s.now(), h, current)
 	if following && !s.members.Following() {
 		s.log.InfoContext(logs.Always(), "Follower: stops following the store, as another instance does.", "Other", h.From.Name, "Follower", s.members.Follower())
 	}
 	s.decider.confirm(s.now() - s.members.ConfirmedAge(s.now()))
-	return own > before, h.Revision > own
+	return !before.covers(own), !own.covers(position{revision: h.Revision, early: h.EarlyRevision})
 }
 
 // hello returns the instance's state for its peers.
@@ -145,7 +197,11 @@
 	defer s.mu.Unlock()
 	h := s.members.Hello(s.now())
 	s.logCutOff(h.ConfirmedAge)
-	h.Revision = s.replica.Revision()
+	h.Revision, h.EarlyRevision = s.replica.Revision(), s.replica.EarlyRevision()
+	if h.Revision == 0 {
+		// Others must not wait for an instance that only reads all keys at its start.
+		h.ProgressAge = h.ConfirmedAge
+	}
 	h.Leaving = s.readiness.isStopping()
 	return h
 }
--- a/pkg/process/entry/web.go
+++ b/pkg/process/entry/web.go
@@ -17,10 +17,13 @@
 	log      *slog.Logger
 }
 
-func newWebServer(part string, l net.Listener, h http.Handler, deadline time.Duration, log *slog.Logger) *webServer {
+// webLimits bounds a request's header and its response; a response of 0 has no limit.
+type webLimits struct{ header, response time.Duration }
+
+func newWebServer(part string, l net.Listener, h http.Handler, limits webLimits, log *slog.Logger) *webServer {
 	return &webServer{
 		part: part, listener: l, log: log,
-		server: &http.Server{Handler: h, ReadHeaderTimeout: deadline, WriteTimeout: deadline},
+		server: &http.Server{Handler: h, ReadHeaderTimeout: limits.header, WriteTimeout: limits.response},
 	}
 }
 
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -53,6 +53,10 @@
 	// yieldMaxAge is how long ago another follower may at most have been known to
 	// follow for this instance to stop following.
 	yieldMaxAge = 1500 * time.Millisecond
+	// maxTransfer is how long other instances wait for a follower that is receiving a
+	// large change: then they follow too, in case their links are faster. A
+	// configuration of 400 KB takes 1.7 s on a link of 2 Mbit/s.
+	maxTransfer = 5 * time.Second
 	// aliveFor is how long an instance counts as alive after its last hello.
 	aliveFor = 5 * time.Second
 	// followerFanout is how many instances a follower sends its state to in one
@@ -87,6 +91,12 @@
 	Revision uint64
 	// ConfirmedAge is how long ago the sender's replica was known to be the newest.
 	ConfirmedAge time.Duration
+	// EarlyRevision is the revision of the latest change that the sender's replica has
+	// beyond Revision, 0 if it has none.
+	EarlyRevision uint64
+	// ProgressAge is how long ago a follower that the sender knows of, or the sender
+	// itself, was receiving something from the store; it is at most ConfirmedAge.
+	ProgressAge time.Duration
 	// Following is set if the sender follows the store.
 	Following bool
 	// Follower is the name of the follower with the lowest rank that the sender
@@ -117,6 +127,8 @@
 	random *rand.Rand
 	// confirmedAt is when the replica was last known to be the newest.
 	confirmedAt time.Duration
+	// progressAt is when a follower was last known to receive something from the store.
+	progressAt time.Duration
 	// followAfter is StaleAfter with this instance's share of staleJitter, and
 	// startupRandom its share of startupJitter.
 	followAfter   time.Duration
@@ -190,7 +202,8 @@
 	if current {
 		c.confirmedAt = max(c.confirmedAt, now-h.ConfirmedAge)
 	}
-	if h.Following && !h.Leaving && h.ConfirmedAge <= yieldMaxAge {
+	c.Progress(now - h.ProgressAge)
+	if h.Following && !h.Leaving && h.ProgressAge <= yieldMaxAge {
 		c.noteFollower(now, h.From.Name, now)
 	}
 	if h.Follower != "" {
@@ -217,6 +230,16 @@
 // Earlier times than the known one have no effect.
 func (c *Core) Confirm(confirmedAt time.Duration) { c.confirmedAt = max(c.confirmedAt, confirmedAt) }
 
+// Progress records that a follower was receiving something from the store at the given
+// time.
+func (c *Core) Progress(at time.Duration) { c.progressAt = max(c.progressAt, at) }
+
+// ProgressAge returns how long ago a follower was known to receive something from the
+// store.
+func (c *Core) ProgressAge(now time.Duration) time.Duration {
+	return now - max(c.progressAt, c.confirmedAt)
+}
+
 // ConfirmedAge returns how long ago the replica was known to be the newest.
 func (c *Core) ConfirmedAge(now time.Duration) time.Duration { return now - c.confirmedAt }
 
@@ -232,18 +255,23 @@
 }
 
 // UpdateFollowing reports whether this instance has to follow the store. It starts to
-// follow when the replica's confirmation has become too old.
+// follow when the replica's confirmation has become too old, unless a follower is
+// receiving a change.
 func (c *Core) UpdateFollowing(now time.Duration) bool {
-	if !c.following && c.ConfirmedAge(now) > c.MaxConfirmedAge() {
+	age := c.ConfirmedAge(now)
+	if age <= maxTransfer {
+		age = c.ProgressAge(now)
+	}
+	if !c.following && age > c.MaxConfirmedAge() {
 		c.following = true
 	}
 	return c.following
 }
 
-// Hello returns this instance's state for its peers. Revision and Leaving are left
-// for the caller to set.
+// Hello returns this instance's state for its peers. Revision, EarlyRevision and
+// Leaving are left for the caller to set.
 func (c *Core) Hello(now time.Duration) Hello {
-	h := Hello{From: c.self, ConfirmedAge: c.ConfirmedAge(now), Following: c.following}
+	h := Hello{From: c.self, ConfirmedAge: c.ConfirmedAge(now), ProgressAge: c.ProgressAge(now), Following: c.following}
 	if c.follower != "" && now-c.followerSeen <= yieldMaxAge {
 		h.Follower, h.FollowerAge = c.follower, now-c.followerSeen
 	}
--- a/pkg/process/membership/membership_test.go
+++ b/pkg/process/membership/membership_test.go
@@ -251,3 +251,35 @@
 		t.Error("an instance follows beside a follower that it knows of")
 	}
 }
+
+// TestOthersWaitForAFollowerThatReceives guards against a fleet in which all instances
+// read a large change at once since its follower takes long to receive it.
+func TestOthersWaitForAFollowerThatReceives(t *testing.T) {
+	follower := membership.Member{Name: "entry-1", DataCentre: "centre", Endpoint: netip.MustParseAddrPort("10.0.0.1:7720")}
+	for _, c := range []struct {
+		name string
+		// progressAge returns how long ago the follower received something.
+		progressAge func(now time.Duration) time.Duration
+		want        time.Duration
+	}{
+		{"receives", func(time.Duration) time.Duration { return 50 * time.Millisecond }, 5 * time.Second},
+		{"stops to receive", func(now time.Duration) time.Duration { return max(now-2*time.Second, 0) }, 2*time.Second + membership.StaleAfter},
+		{"receives nothing", func(now time.Duration) time.Duration { return now }, membership.StaleAfter},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := membership.New(membership.Member{Name: "entry-2", DataCentre: "centre"}, nil, 1)
+			core.Confirm(0)
+			followsAt := time.Duration(0)
+			for now := time.Duration(0); followsAt == 0 && now < time.Minute; now += period {
+				core.ReceiveHello(now, membership.Hello{From: follower, Following: true, ConfirmedAge: now, ProgressAge: c.progressAge(now)}, true)
+				if core.UpdateFollowing(now) {
+					followsAt = now
+				}
+			}
+			const jitter = 400 * time.Millisecond
+			if followsAt < c.want || followsAt > c.want+jitter+2*period {
+				t.Errorf("follows at %v, want %v", followsAt, c.want)
+			}
+		})
+	}
+}
--- a/pkg/version/replica/replica.go
+++ b/pkg/version/replica/replica.go
@@ -5,15 +5,22 @@
 // peer that is a little behind is sent only these; any other peer is sent all
 // keys.
 //
+// While a large change arrives, later changes of other keys can be applied early.
+// They don't advance the copy's revision, since changes before them are missing, but
+// the keys have their new values, and batches for peers include them.
+//
 // # Usage
 //
 //	r := replica.New()
 //	changed, ok := r.Apply(replica.Batch{Revision: 400, Whole: true, Changes: items})
 //	changed, ok = r.Apply(replica.Batch{After: 400, Revision: 412, Changes: changes})
+//	changed = r.ApplyEarly(laterChanges)
 //	batch := r.Since(peerRevision)
 package replica
 
 import (
+	"cmp"
+	"encoding/base64"
 	"maps"
 	"slices"
 )
@@ -34,7 +41,8 @@
 type Batch struct {
 	// After is the lowest revision at which a copy can apply the batch.
 	After uint64
-	// Revision is the copy's revision after that.
+	// Revision is the copy's revision after that. Changes with a later revision are
+	// early.
 	Revision uint64
 	Changes  []Change
 	// Whole says that Changes holds all existing keys; After isn't used then.
@@ -49,21 +57,36 @@
 	recent   []Change // in order of revision
 	// recentSince is the revision after which recent holds every change.
 	recentSince uint64
+	// early holds the last change of each key that was changed after revision.
+	early       map[string]Change
+	encodedSize int
 }
 
 // New returns an empty copy at revision 0.
-func New() *Replica { return &Replica{items: make(map[string]Change)} }
+func New() *Replica {
+	return &Replica{items: make(map[string]Change), early: make(map[string]Change)}
+}
 
 // Revision returns the revision of the copy, 0 before the first batch.
 func (r *Replica) Revision() uint64 { return r.revision }
 
+// EarlyRevision returns the revision of the latest early change, 0 if there is none.
+func (r *Replica) EarlyRevision() uint64 {
+	latest := uint64(0)
+	for _, c := range r.early {
+		latest = max(latest, c.Revision)
+	}
+	return latest
+}
+
 // Apply applies a batch and returns the changes that were new. It returns false
 // and leaves the copy unchanged if the batch starts after the copy's revision, or
-// the copy is empty and the batch isn't a whole one. An older batch has no effect.
+// the copy is empty and the batch isn't a whole one. Of an older batch only the early
+// changes have an effect.
 func (r *Replica) Apply(b Batch) ([]Change, bool) {
 	switch {
 	case b.Revision <= r.revision:
-		return nil, true
+		return r.ApplyEarly(b.Changes), true
 	case b.Whole:
 		return r.replace(b), true
 	case b.After > r.revision || r.revision == 0:
@@ -71,37 +94,80 @@
 	}
 	var changed []Change
 	for _, c := range b.Changes {
-		if c.Revision <= r.revision {
-			continue
+		if r.isNew(c) {
+			r.put(c)
+			changed = append(changed, c)
 		}
-		r.put(c)
-		changed = append(changed, c)
 	}
 	r.revision = b.Revision
-	r.keepRecent(changed)
+	r.keepRecent(b.Changes)
+	r.keepEarly(changed)
 	return changed, true
 }
 
+// ApplyEarly applies changes that come after the copy's revision, although others
+// before them may be missing, and returns those that were new.
+func (r *Replica) ApplyEarly(changes []Change) []Change {
+	if r.revision == 0 {
+		return nil
+	}
+	var changed []Change
+	for _, c := range changes {
+		if r.isNew(c) {
+			r.put(c)
+			changed = append(changed, c)
+		}
+	}
+	r.keepEarly(changed)
+	return changed
+}
+
+// isNew reports whether a change is later than what the copy has of its key.
+func (r *Replica) isNew(c Change) bool {
+	return c.Revision > r.revision && c.Revision > r.early[c.Key].Revision
+}
+
+// keepEarly adds the early ones of some changes, and drops those that aren't early
+// any more.
+func (r *Replica) keepEarly(changes []Change) {
+	for _, c := range changes {
+		r.early[c.Key] = c
+	}
+	maps.DeleteFunc(r.early, func(_ string, c Change) bool { return c.Revision <= r.revision })
+}
+
 func (r *Replica) put(c Change) {
+	if old, ok := r.items[c.Key]; ok {
+		r.encodedSize -= encodedSize(old)
+	}
 	if c.Deleted {
 		delete(r.items, c.Key)
 		return
 	}
 	r.items[c.Key] = c
+	r.encodedSize += encodedSize(c)
 }
 
-// replace applies a whole batch; keys that it lacks have been deleted.
+// fieldOverhead is about how many bytes the names and numbers of an item have.
+const fieldOverhead = 80
+
+func encodedSize(c Change) int {
+	return len(c.Key) + base64.StdEncoding.EncodedLen(len(c.Value)) + fieldOverhead
+}
+
+// replace applies a whole batch; keys that it lacks have been deleted, unless they were
+// written early.
 func (r *Replica) replace(b Batch) []Change {
 	var changed []Change
 	present := make(map[string]bool, len(b.Changes))
 	for _, c := range b.Changes {
 		present[c.Key] = true
-		if old, ok := r.items[c.Key]; !ok || old.Revision < c.Revision {
+		if c.Revision > max(r.items[c.Key].Revision, r.early[c.Key].Revision) {
 			changed = append(changed, c)
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(r.items)) {
-		if !present[key] {
+		if !present[key] && r.items[key].Revision <= b.Revision {
 			changed = append(changed, Change{Key: key, Revision: b.Revision, Deleted: true})
 		}
 	}
@@ -109,19 +175,33 @@
 		r.put(c)
 	}
 	r.revision, r.recentSince, r.recent = b.Revision, b.Revision, nil
+	r.keepEarly(changed)
 	return changed
 }
 
-func (r *Replica) keepRecent(changed []Change) {
-	r.recent = append(r.recent, changed...)
+// keepRecent adds the changes up to the copy's revision to those that are kept for
+// peers.
+func (r *Replica) keepRecent(changes []Change) {
+	last := r.recentSince
+	if n := len(r.recent); n > 0 {
+		last = r.recent[n-1].Revision
+	}
+	for _, c := range changes {
+		if c.Revision > last && c.Revision <= r.revision {
+			r.recent = append(r.recent, c)
+		}
+	}
 	if over := len(r.recent) - recentLimit; over > 0 {
 		r.recentSince = r.recent[over-1].Revision
 		r.recent = slices.Clone(r.recent[over:])
 	}
 }
 
+// EncodedSize returns about how many bytes all keys have as text, with values in base64.
+func (r *Replica) EncodedSize() int { return r.encodedSize }
+
 // Since returns the batch that brings a copy at that revision up to this one's:
-// the recent changes if they suffice, otherwise all keys.
+// the recent changes if they suffice, otherwise all keys, and the early changes.
 func (r *Replica) Since(revision uint64) Batch {
 	if revision == 0 || revision < r.recentSince {
 		return r.whole()
@@ -132,13 +212,24 @@
 			b.Changes = append(b.Changes, c)
 		}
 	}
+	b.Changes = append(b.Changes, r.sortedEarly()...)
 	return b
 }
 
+// sortedEarly returns the early changes, in order of revision.
+func (r *Replica) sortedEarly() []Change {
+	return slices.SortedFunc(maps.Values(r.early), func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
+}
+
 func (r *Replica) whole() Batch {
 	b := Batch{Revision: r.revision, Whole: true}
 	for _, key := range slices.Sorted(maps.Keys(r.items)) {
 		b.Changes = append(b.Changes, r.items[key])
 	}
+	for _, c := range r.sortedEarly() {
+		if c.Deleted {
+			b.Changes = append(b.Changes, c)
+		}
+	}
 	return b
 }
--- a/pkg/version/replica/replica_test.go
+++ b/pkg/version/replica/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -82,3 +83,104 @@
 		t.Error(d)
 	}
 }
+
+func TestEarlyChangeTakesEffectAndIsPassedOn(t *testing.T) {
+	r, peer := replica.New(), replica.New()
+	whole := replica.Batch{Whole: true, Revision: 5, Changes: []replica.Change{change("a", 5), change("b", 3)}}
+	r.Apply(whole)
+	peer.Apply(whole)
+	early := []replica.Change{change("a", 8), {Key: "b", Revision: 9, Deleted: true}}
+	for _, attempt := range []string{"first", "again"} {
+		want := early
+		if attempt == "again" {
+			want = nil
+		}
+		if d := cmp.Diff(want, r.ApplyEarly(early)); d != "" {
+			t.Errorf("%s: %s", attempt, d)
+		}
+	}
+	if r.Revision() != 5 || r.EarlyRevision() != 9 {
+		t.Errorf("revision %d, early %d", r.Revision(), r.EarlyRevision())
+	}
+	if changed, ok := peer.Apply(r.Since(5)); len(changed) != 2 || !ok {
+		t.Errorf("the peer applied %v, %v", changed, ok)
+	}
+	changed, ok := r.Apply(replica.Batch{After: 5, Revision: 9, Changes: []replica.Change{change("c", 6), change("a", 7), early[0], early[1]}})
+	if d := cmp.Diff([]replica.Change{change("c", 6)}, changed); d != "" || !ok || r.EarlyRevision() != 0 {
+		t.Errorf("applied %v, early %d: %s", ok, r.EarlyRevision(), d)
+	}
+}
+
+func TestWholeBatchKeepsLaterEarlyChanges(t *testing.T) {
+	r := replica.New()
+	r.Apply(replica.Batch{Whole: true, Revision: 5, Changes: []replica.Change{change("a", 5), change("b", 3)}})
+	r.ApplyEarly([]replica.Change{change("new", 9), {Key: "b", Revision: 10, Deleted: true}})
+	r.Apply(replica.Batch{Whole: true, Revision: 7, Changes: []replica.Change{change("a", 7), change("b", 3)}})
+	want := []replica.Change{change("a", 7), change("new", 9), {Key: "b", Revision: 10, Deleted: true}}
+	if d := cmp.Diff(want, r.Since(0).Changes); d != "" {
+		t.Error(d)
+	}
+}
+
+// changesSince returns the changes of a history after a revision to keys that begin with
+// the prefix.
+func changesSince(history []replica.Change, revision uint64, prefix string) []replica.Change {
+	var changes []replica.Change
+	for _, c := range history {
+		if c.Revision > revision && strings.HasPrefix(c.Key, prefix) {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+// TestEarlyChangesLoseAndRevertNothing guards against a key that misses a change or goes
+// back: two replicas that fetch from each other get the changes of one store, of
+// some keys early, in batches and as whole.
+func TestEarlyChangesLoseAndRevertNothing(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var history []replica.Change
+		store := replica.New()
+		store.Apply(replica.Batch{Whole: true, Revision: 1, Changes: []replica.Change{change("k0", 1)}})
+		copies := []*replica.Replica{replica.New(), replica.New()}
+		copies[0].Apply(store.Since(0))
+		copies[1].Apply(store.Since(0))
+		latest := []map[string]uint64{{}, {}}
+		note := func(n int, changed []replica.Change) {
+			for _, c := range changed {
+				if c.Revision <= latest[n][c.Key] && !c.Deleted {
+					t.Fatalf("seed %d: copy %d goes back to revision %d of %q, from %d", seed, n, c.Revision, c.Key, latest[n][c.Key])
+				}
+				latest[n][c.Key] = max(latest[n][c.Key], c.Revision)
+			}
+		}
+		since := func(revision uint64, prefix string) []replica.Change { return changesSince(history, revision, prefix) }
+		for revision := uint64(2); revision < 600; revision++ {
+			c := change(fmt.Sprintf("k%d", random.IntN(12)), revision)
+			c.Deleted = random.IntN(4) == 0
+			history = append(history, c)
+			store.Apply(replica.Batch{After: revision - 1, Revision: revision, Changes: []replica.Change{c}})
+			n := random.IntN(2)
+			switch own := copies[n].Revision(); random.IntN(12) {
+			case 0:
+				note(n, copies[n].ApplyEarly(since(own, fmt.Sprintf("k%d", random.IntN(3)))))
+			case 1:
+				changed, _ := copies[n].Apply(replica.Batch{After: own, Revision: revision, Changes: since(own, "")})
+				note(n, changed)
+			case 2:
+				changed, _ := copies[n].Apply(copies[1-n].Since(own))
+				note(n, changed)
+			case 3:
+				changed, _ := copies[n].Apply(store.Since(0))
+				note(n, changed)
+			}
+		}
+		for n, r := range copies {
+			r.Apply(replica.Batch{After: r.Revision(), Revision: 600, Changes: since(r.Revision(), "")})
+			if d := cmp.Diff(store.Since(0).Changes, r.Since(0).Changes); d != "" {
+				t.Fatalf("seed %d, copy %d: %s", seed, n, d)
+			}
+		}
+	}
+}
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -38,6 +38,7 @@
 		Revision: m.Hello.Revision, ConfirmedAgeMilliseconds: toMilliseconds(m.Hello.ConfirmedAge),
 		Following: m.Hello.Following, Leaving: m.Hello.Leaving,
 		Follower: m.Hello.Follower, FollowerAgeMilliseconds: toMilliseconds(m.Hello.FollowerAge),
+		EarlyRevision: m.Hello.EarlyRevision, ProgressAgeMilliseconds: proto.Uint32(toMilliseconds(m.Hello.ProgressAge)),
 	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, &Load{
@@ -74,7 +75,11 @@
 		Revision: w.GetRevision(), ConfirmedAge: fromMilliseconds(w.GetConfirmedAgeMilliseconds()),
 		Following: w.GetFollowing(), Leaving: w.GetLeaving(),
 		Follower: w.GetFollower(), FollowerAge: fromMilliseconds(w.GetFollowerAgeMilliseconds()),
+		EarlyRevision: w.GetEarlyRevision(), ProgressAge: fromMilliseconds(w.GetConfirmedAgeMilliseconds()),
 	}}
+	if w.ProgressAgeMilliseconds != nil {
+		m.Hello.ProgressAge = fromMilliseconds(w.GetProgressAgeMilliseconds())
+	}
 	for _, l := range w.GetLoads() {
 		m.Loads = append(m.Loads, forwarding.Load{
 			Mark: mark.Mark(l.GetMark()), Open: int(l.GetOpen()), Running: float64(l.GetRunningHundredths()) / hundredths,
--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
@@ -19,6 +20,7 @@
 		From:     membership.Member{Name: "entry-1", DataCentre: "dakar-1", Endpoint: netip.MustParseAddrPort("10.1.0.10:7720")},
 		Revision: 412, ConfirmedAge: 700 * time.Millisecond, Following: true, Leaving: true,
 		Follower: "entry-2", FollowerAge: 250 * time.Millisecond,
+		EarlyRevision: 415, ProgressAge: 50 * time.Millisecond,
 	},
 	Loads: []forwarding.Load{{
 		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second,
@@ -42,6 +44,22 @@
 	}
 }
 
+// TestHelloWithoutProgressCountsFromTheConfirmation guards against instances of an
+// earlier version: they never say when their follower received something.
+func TestHelloWithoutProgressCountsFromTheConfirmation(t *testing.T) {
+	datagram, err := proto.Marshal(&entry.Hello{From: &entry.Member{Name: "entry-1", Port: 7720}, ConfirmedAgeMilliseconds: 900})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := entry.Decode(datagram)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m.Hello.ProgressAge != 900*time.Millisecond {
+		t.Errorf("progress %v ago", m.Hello.ProgressAge)
+	}
+}
+
 func TestBatchSurvivesEncoding(t *testing.T) {
 	want := replica.Batch{Revision: 9, Whole: true, Changes: []replica.Change{{Key: "k", Value: []byte("v"), Revision: 3}}}
 	body, err := entry.EncodeBatch(want)
