Pace packets to the link, and ask other instances before flows are given up

Requests and their copies were lost, the server seemed to answer nobody, and its flows were reset. Reports of other instances, which saw it answer, came up to a second later: with 48 servers in them, one of four peers gets one in 250 ms.

Ruled out: the server, which answered others meanwhile; the store, and what instances send to each other, some 6 KB/s.

Change: packets are sent at the link's rate, at most 20 ms of it at once; those that have to wait take turns by flow, so that requests don't wait behind uploads (pkg/connection/ pacing). Before flows at a server are given up, the instances of the data centre, and some of the server's, are asked about it; half of them or four have to answer, none with a sign of life. So the time until then doesn't grow with the fleet any more (it was 0.7 s and 65 ms for each other instance, 4.2 s at 54).

--- a/pkg/connection/forwarding/events.go
+++ b/pkg/connection/forwarding/events.go
@@ -31,6 +31,9 @@
 	Failures, Stuck, Others int
 	// SilentFor is how long ago this or another instance last saw a sign of life.
 	SilentFor time.Duration
+	// Asked is the number of instances that were asked about the server last, and
+	// Answered how many of them answered.
+	Asked, Answered int
 }
 
 // updateState sets the assumed state of a backend server and adds an event if it
@@ -46,11 +49,18 @@
 	if state == v.state {
 		return
 	}
+	if v.state == Silent && v.observed.lastSign() > v.silentAt {
+		c.suspectRestart(v, v.observed.lastSign(), true)
+	}
+	if state == Silent {
+		v.silentAt = now
+	}
 	if len(c.events) < maxEvents {
 		c.events = append(c.events, Event{
 			Server: v.ID, Service: v.Service, DataCentre: v.DataCentre, Before: v.state, Now: state,
 			Failures: v.observed.failures, Stuck: v.observed.stuck, Others: v.observed.others.failures,
-			SilentFor: now - max(v.observed.lastAlive, v.observed.others.lastAlive),
+			SilentFor: now - v.observed.lastSign(),
+			Asked:     v.observed.inquiry.asked, Answered: v.observed.inquiry.answered,
 		})
 	}
 	v.state = state
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -23,8 +23,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
@@ -278,7 +276,7 @@
 	for _, s := range r.Shares {
 		total += s.Weight
 	}
-	point := float64(hash(f)>>11) / (1 << 53) * total
+	point := float64(f.Hash()>>11) / (1 << 53) * total
 	for _, s := range r.Shares {
 		if point -= s.Weight; point < 0 {
 			return s.Service
@@ -287,16 +285,6 @@
 	return ""
 }
 
-func hash(f segment.Flow) uint64 {
-	var b [12]byte
-	caller, route := f.Caller.Addr().As4(), f.Route.Addr().As4()
-	copy(b[:], caller[:])
-	copy(b[4:], route[:])
-	b[8], b[9] = byte(f.Caller.Port()>>8), byte(f.Caller.Port())
-	b[10], b[11] = byte(f.Route.Port()>>8), byte(f.Route.Port())
-	return xxhash.Sum64(b[:])
-}
-
 // Tick does the periodic work; call it each 0.1 s. A backend server that left the
 // directory stays known by its mark for maxFlow, the longest life of a flow.
 func (c *Core) Tick(now, maxFlow time.Duration) {
--- /dev/null
+++ b/pkg/connection/forwarding/inquiry.go
@@ -0,0 +1,110 @@
+package forwarding
+
+import (
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
+)
+
+const (
+	// inquiryWait is how long an instance waits for answers to an inquiry: an answer
+	// takes a few milliseconds, and longer on a slow machine or a full link.
+	inquiryWait = 100 * time.Millisecond
+	// inquiryPeriod is the time between two inquiries about a server, and how long
+	// the answers to one count.
+	inquiryPeriod = 500 * time.Millisecond
+	// enoughAnswers is how many answers confirm that nobody saw a sign of life, or
+	// half of those that were asked, if these are fewer.
+	enoughAnswers = 4
+	// maxInquiries bounds the servers that one inquiry asks about, so that the answer
+	// fits into a datagram.
+	maxInquiries = 48
+)
+
+// Inquiry asks other instances about a backend server that seems to be silent.
+//
+// Reports of loads go round slowly, so that a sign of life may arrive long after
+// another instance saw it. Before flows are given up, the others are asked: those of the
+// own data centre, whose flows take the same way, and some of the server's, which see
+// best whether it lives.
+type Inquiry struct {
+	Mark mark.Mark
+	// DataCentre is the server's.
+	DataCentre string
+}
+
+// inquiry is the state of the last inquiry about a backend server.
+type inquiry struct {
+	askedAt time.Duration
+	// asked and answered are the numbers of instances of the own data centre that
+	// were asked, and that have answered.
+	asked, answered int
+	// lastAlive is the latest sign of life that any answer named.
+	lastAlive time.Duration
+}
+
+// due reports whether it is time for another inquiry.
+func (i inquiry) due(now time.Duration) bool {
+	return i.askedAt == 0 || now-i.askedAt >= inquiryPeriod
+}
+
+// confirmed reports whether the answers so far suffice. What they say is in lastAlive.
+func (i inquiry) confirmed(now time.Duration) bool {
+	if i.askedAt == 0 || now-i.askedAt < inquiryWait {
+		return false
+	}
+	return i.answered >= min(enoughAnswers, (i.asked+1)/2)
+}
+
+// Inquiries returns the backend servers to ask other instances about now.
+func (c *Core) Inquiries(now time.Duration) []Inquiry {
+	if c.peerCount == 0 {
+		return nil
+	}
+	var inquiries []Inquiry
+	for _, v := range c.servers.sorted {
+		if len(inquiries) == maxInquiries {
+			break
+		}
+		if v.observed.withoutSigns(now, c.lastAnswer) && v.observed.inquiry.due(now) {
+			inquiries = append(inquiries, Inquiry{Mark: v.mark, DataCentre: v.DataCentre})
+		}
+	}
+	return inquiries
+}
+
+// Asked records that an inquiry about a backend server was sent to so many instances of
+// the own data centre.
+func (c *Core) Asked(now time.Duration, m mark.Mark, peers int) {
+	if v, ok := c.servers.byMark[m]; ok {
+		v.observed.inquiry = inquiry{askedAt: now, asked: peers, lastAlive: v.observed.inquiry.lastAlive}
+	}
+}
+
+// AnswerInquiry returns what this instance has seen of some backend servers. Unknown
+// ones are left out.
+func (c *Core) AnswerInquiry(now time.Duration, marks []mark.Mark) []Load {
+	var loads []Load
+	for _, m := range marks[:min(len(marks), maxInquiries)] {
+		if v, ok := c.servers.byMark[m]; ok {
+			loads = append(loads, v.load(now))
+		}
+	}
+	return loads
+}
+
+// ReceiveAnswer applies the answer of another instance, of the own data centre or
+// another one, to an inquiry.
+func (c *Core) ReceiveAnswer(now time.Duration, loads []Load, ownDataCentre bool) {
+	c.receiveSuspicions(now, loads)
+	for _, l := range loads {
+		v, ok := c.servers.byMark[l.Mark]
+		if !ok {
+			continue
+		}
+		v.observed.inquiry.lastAlive = max(v.observed.inquiry.lastAlive, now-l.AliveAge)
+		if ownDataCentre {
+			v.observed.inquiry.answered++
+		}
+	}
+}
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -35,6 +35,9 @@
 	Stuck int
 	// AliveAge is how long ago the instance last saw a sign of life.
 	AliveAge time.Duration
+	// ColdLeft is for how long the instance still takes the server for cold since it
+	// may have been started anew, 0 if it doesn't.
+	ColdLeft time.Duration
 }
 
 // report holds another instance's loads and the time when they were received.
@@ -48,14 +51,12 @@
 func (c *Core) Loads(now time.Duration) []Load {
 	var loads []Load
 	for _, m := range slices.Sorted(maps.Keys(c.servers.byMark)) {
-		o := &c.servers.byMark[m].observed
-		if o.openFlows == 0 && o.running == 0 && o.failures == 0 && o.average < 1.0/64 {
+		v := c.servers.byMark[m]
+		o := &v.observed
+		if o.openFlows == 0 && o.running == 0 && o.failures == 0 && o.average < 1.0/64 && now >= v.suspectUntil {
 			continue
 		}
-		loads = append(loads, Load{
-			Mark: m, Open: o.openFlows, Running: o.average,
-			Failures: o.failures, FailedAge: now - o.lastFailure, Stuck: o.stuck, AliveAge: now - o.lastAlive,
-		})
+		loads = append(loads, v.load(now))
 	}
 	if len(loads) > maxLoads {
 		slices.SortStableFunc(loads, func(a, b Load) int { return b.Failures + b.Open - a.Failures - a.Open })
@@ -64,15 +65,40 @@
 	return loads
 }
 
+// load returns what this instance has seen of the backend server.
+func (v *server) load(now time.Duration) Load {
+	o := &v.observed
+	return Load{
+		Mark: v.mark, Open: o.openFlows, Running: o.average,
+		Failures: o.failures, FailedAge: now - o.lastFailure, Stuck: o.stuck, AliveAge: now - o.lastAlive,
+		ColdLeft: max(v.suspectUntil-now, 0),
+	}
+}
+
 // ReceiveLoads applies the loads of another instance of the data centre, and
 // keeps the slice. alive is the number of other instances; if only some of them
 // report, each report stands for several.
 func (c *Core) ReceiveLoads(now time.Duration, name string, loads []Load, alive int) {
 	c.reports[name] = report{received: now, loads: loads}
 	c.peerCount = alive
+	c.receiveSuspicions(now, loads)
 	c.combineReports(now)
 }
 
+// receiveSuspicions applies what another instance says of servers that may have been
+// started anew.
+func (c *Core) receiveSuspicions(now time.Duration, loads []Load) {
+	for _, l := range loads {
+		v, ok := c.servers.byMark[l.Mark]
+		if !ok || l.ColdLeft == 0 {
+			continue
+		}
+		if service, ok := c.directory.Service(v.Service); ok {
+			v.suspectRestart(now + min(l.ColdLeft, service.ColdFor))
+		}
+	}
+}
+
 // combineReports sums up the reports that still count.
 func (c *Core) combineReports(now time.Duration) {
 	for _, v := range c.servers.sorted {
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -32,10 +32,6 @@
 	// of life until then. A request waits for some 0.4 s at most when the work of
 	// cold servers takes all slots and queues.
 	silentAfter = 700 * time.Millisecond
-	// reportDelay is the time added for each other instance, as its report of a
-	// sign of life may arrive that much later: each instance sends reports to four
-	// others in a quarter of a second.
-	reportDelay = 65 * time.Millisecond
 	// silentPeriod is how long a server counts as silent without further failures.
 	silentPeriod = 2 * time.Second
 	// answerTime is the longest time that the opening of a flow takes, from its
@@ -74,6 +70,8 @@
 	// nextTrial is when a suspected server gets its next flow, backoff the time
 	// between trials.
 	nextTrial, backoff time.Duration
+	// inquiry is the last one about the server.
+	inquiry inquiry
 }
 
 // suspected reports whether the server gets no new flow at present.
@@ -109,15 +107,26 @@
 
 // silent reports whether the server has ended or can't be reached from the data
 // centre, so that flows at it are lost. lastAnswer is when this instance last
-// saw an answer of any server, peers the number of other instances that report
-// here.
+// saw an answer of any server, peers the number of other instances of the data
+// centre, which are asked before.
 func (o *observations) silent(now, lastAnswer time.Duration, peers int) bool {
+	return o.withoutSigns(now, lastAnswer) && (peers == 0 || o.inquiry.confirmed(now))
+}
+
+// withoutSigns reports whether the server seems to be silent by what this instance
+// knows.
+func (o *observations) withoutSigns(now, lastAnswer time.Duration) bool {
 	if o.stuck == 0 || o.failures+o.others.failures < silentFailures || o.stuck+o.others.stuck < silentStuck {
 		return false
 	}
-	sinceAlive := now - max(o.lastAlive, o.others.lastAlive)
+	sinceAlive := now - o.lastSign()
 	sinceFailure := now - max(o.lastFailure, o.others.lastFailure)
-	return sinceAlive >= silentAfter+time.Duration(peers)*reportDelay && sinceFailure <= silentPeriod && now-lastAnswer <= lastAnswerMaxAge
+	return sinceAlive >= silentAfter && sinceFailure <= silentPeriod && now-lastAnswer <= lastAnswerMaxAge
+}
+
+// lastSign returns when this or another instance last saw a sign of life of the server.
+func (o *observations) lastSign() time.Duration {
+	return max(o.lastAlive, o.others.lastAlive, o.inquiry.lastAlive)
 }
 
 // recordUnanswered records a failure: a flow whose caller sent something at that
@@ -264,14 +273,26 @@
 	if v.observed.failures >= suspectFailures {
 		// The server may have been restarted, and the platform may not report that
 		// yet.
-		if service, ok := c.directory.Service(v.Service); ok {
-			v.coldUntil = max(v.coldUntil, now+service.ColdFor)
-		}
+		c.suspectRestart(v, now, now-v.observed.lastSign() >= silentAfter)
 	}
 	v.observed.recordAnswer(now)
 	c.lastAnswer = now
 }
 
+// suspectRestart lets the server count as cold since it may have been started anew
+// shortly before the given time. The other instances are told only if nobody had seen a
+// sign of life for long, as a server that was merely full would be cold for all of them.
+func (c *Core) suspectRestart(v *server, startedAt time.Duration, wasSilent bool) {
+	service, ok := c.directory.Service(v.Service)
+	switch {
+	case !ok:
+	case wasSilent:
+		v.suspectRestart(startedAt + service.ColdFor)
+	default:
+		v.coldUntil = max(v.coldUntil, startedAt+service.ColdFor)
+	}
+}
+
 // acknowledge updates the flow for what the caller acknowledges, and reports
 // whether any of it is new.
 func (f *flow) acknowledge(now time.Duration, s segment.Segment) bool {
--- a/pkg/connection/forwarding/observe_test.go
+++ b/pkg/connection/forwarding/observe_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 )
 
 const (
@@ -389,3 +390,116 @@
 		t.Errorf("%d servers are suspected", len(events))
 	}
 }
+
+// silentServer returns a core with peers that sees three flows unanswered at a server
+// while another one answers, with the callers, the server and the time.
+func silentServer(t *testing.T, peers int) (*forwarding.Core, []*caller, string, time.Duration) {
+	t.Helper()
+	c := newCore(deployment())
+	c.ReceiveLoads(0, "other", nil, peers)
+	callers, unresponsive := openAtServer(t, c, 3)
+	sendUnanswered(c, callers)
+	answerElsewhere(t, c, unresponsive, time.Second)
+	return c, callers, unresponsive, time.Second
+}
+
+// Reports of other instances may arrive long after these saw a sign of life, so that
+// flows are given up only once they were asked.
+func TestOthersAreAskedBeforeFlowsAreGivenUp(t *testing.T) {
+	const (
+		peers = 5
+		wait  = 100 * time.Millisecond
+	)
+	quiet := forwarding.Load{AliveAge: time.Minute}
+	for _, test := range []struct {
+		name string
+		// answers are those of the own data centre, elsewhere that of another one.
+		answers   int
+		answer    forwarding.Load
+		elsewhere *forwarding.Load
+		after     time.Duration
+		want      forwarding.Verdict
+	}{
+		{name: "nobody answers", after: wait, want: forwarding.Forward},
+		{name: "too few answer", answers: 2, answer: quiet, after: wait, want: forwarding.Forward},
+		{name: "at once", answers: 4, answer: quiet, want: forwarding.Forward},
+		{name: "enough answer", answers: 3, answer: quiet, after: wait, want: forwarding.Reset},
+		{name: "one has seen it", answers: 4, answer: forwarding.Load{AliveAge: 50 * time.Millisecond}, after: wait, want: forwarding.Forward},
+		{
+			name: "its data centre has seen it", answers: 4, answer: quiet,
+			elsewhere: &forwarding.Load{AliveAge: 50 * time.Millisecond}, after: wait, want: forwarding.Forward,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, callers, _, now := silentServer(t, peers)
+			inquiries := c.Inquiries(now)
+			if len(inquiries) != 1 || inquiries[0].Mark != callers[0].markNumber() {
+				t.Fatalf("asks about %+v", inquiries)
+			}
+			c.Asked(now, inquiries[0].Mark, peers)
+			if again := c.Inquiries(now); len(again) != 0 {
+				t.Errorf("asks again at once: %+v", again)
+			}
+			test.answer.Mark = inquiries[0].Mark
+			for range test.answers {
+				c.ReceiveAnswer(now, []forwarding.Load{test.answer}, true)
+			}
+			if test.elsewhere != nil {
+				test.elsewhere.Mark = inquiries[0].Mark
+				c.ReceiveAnswer(now, []forwarding.Load{*test.elsewhere}, false)
+			}
+			if d := c.Decide(now+test.after, callers[0].request()); d.Verdict != test.want {
+				t.Errorf("%+v", d)
+			}
+		})
+	}
+}
+
+func TestInquiryIsAnsweredWithTheLastSignOfLife(t *testing.T) {
+	c := newCore(deployment())
+	p, d := opened(t, c, time.Millisecond, feedRoute)
+	c.Decide(20*time.Millisecond, p.request())
+	loads := c.AnswerInquiry(120*time.Millisecond, []mark.Mark{d.Mark, d.Mark + 1})
+	if len(loads) != 1 || loads[0].Mark != d.Mark || loads[0].AliveAge != 100*time.Millisecond {
+		t.Errorf("%+v", loads)
+	}
+}
+
+// A server that was silent and answers again may have been started anew. Instances that
+// saw less of it must not fill it.
+func TestOthersLearnThatASilentServerMayBeCold(t *testing.T) {
+	c, callers, unresponsive, now := silentServer(t, 0)
+	c.Tick(now, maxFlow)
+	now += 1500 * time.Millisecond
+	var p *caller
+	for placed := ""; placed != unresponsive; {
+		var d forwarding.Decision
+		p, d = opened(t, c, now, feedRoute)
+		placed = d.Server
+	}
+	c.Decide(now+time.Millisecond, p.request())
+	other := newCore(deployment())
+	for _, l := range c.Loads(now + 2*time.Millisecond) {
+		if l.Mark == callers[0].markNumber() && l.ColdLeft == 0 {
+			t.Error("reported as warm")
+		}
+	}
+	other.ReceiveLoads(now, "first", c.Loads(now+2*time.Millisecond), 1)
+	for range 60 {
+		if _, d := opened(t, other, now+3*time.Millisecond, feedRoute); d.Server == unresponsive {
+			t.Fatal("another instance gives it a flow")
+		}
+	}
+}
+
+// A server that was only full for a moment stays warm for others.
+func TestFullServerStaysWarmForOthers(t *testing.T) {
+	c := newCore(deployment())
+	unresponsive := leaveUnanswered(t, c)
+	now := firstCopy + 10*time.Millisecond
+	for _, l := range c.Loads(now) {
+		if l.ColdLeft > 0 {
+			t.Errorf("server %q counts as started anew: %+v", unresponsive, l)
+		}
+	}
+}
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -22,9 +22,13 @@
 	// coldUntil is when the server has warmed up, and coldSent when this instance
 	// last sent it a new flow before that.
 	coldUntil, coldSent time.Duration
-	observed            observations
-	// state is the state as of the last event.
-	state ServerState
+	// suspectUntil is the time until which the server counts as cold since it may have
+	// been started anew, as this instance or another one of the data centre has seen.
+	suspectUntil time.Duration
+	observed     observations
+	// state is the state as of the last event, and silentAt when it last became Silent.
+	state    ServerState
+	silentAt time.Duration
 }
 
 // registry holds the backend servers that marks can name.
@@ -115,6 +119,12 @@
 	return restarted
 }
 
+// suspectRestart lets the server count as cold until the given time.
+func (v *server) suspectRestart(until time.Duration) {
+	v.suspectUntil = max(v.suspectUntil, until)
+	v.coldUntil = max(v.coldUntil, until)
+}
+
 // index rebuilds the sorted list of servers, and the lists by service of those
 // that may get new flows.
 func (r *registry) index() {
--- a/pkg/connection/segment/segment.go
+++ b/pkg/connection/segment/segment.go
@@ -9,7 +9,11 @@
 //	}
 package segment
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Flags are the flags of a packet.
 type Flags uint8
@@ -38,6 +42,17 @@
 	Route netip.AddrPort
 }
 
+// Hash returns the same number for all packets of the flow, at every instance.
+func (f Flow) Hash() uint64 {
+	var b [12]byte
+	caller, route := f.Caller.Addr().As4(), f.Route.Addr().As4()
+	copy(b[:], caller[:])
+	copy(b[4:], route[:])
+	b[8], b[9] = byte(f.Caller.Port()>>8), byte(f.Caller.Port())
+	b[10], b[11] = byte(f.Route.Port()>>8), byte(f.Route.Port())
+	return xxhash.Sum64(b[:])
+}
+
 // Segment is the header of one packet from a caller.
 type Segment struct {
 	Flow  Flow
--- a/pkg/emulation/instance.go
+++ b/pkg/emulation/instance.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/pacing"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/timeline"
 	"github.com/tanagerweir/tanagerweir/pkg/process/entry"
 	"github.com/tanagerweir/tanagerweir/pkg/transfer"
@@ -49,6 +50,8 @@
 	// currentPacket is the packet that the engine handles now; SendPacket refers to
 	// it.
 	currentPacket *transit
+	// outgoing holds the packets that wait for the link.
+	outgoing *pacing.Queue[func()]
 	// seenVersion is the highest configuration version whose effect was observed in
 	// this boot, and seenVersionAt when it was first observed.
 	seenVersion   version
@@ -91,6 +94,7 @@
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.startedAt = w.clock.Now()
 	i.transport = &storeTransport{instance: i, store: w.store}
+	i.outgoing = pacing.New[func()](i.bytesPerSecond)
 	o := w.instanceOptions(i)
 	engine, err := entry.NewEngine(o, i)
 	if err != nil {
@@ -283,10 +287,35 @@
 }
 
 // SendPacket sends a datagram, which belongs to the packet that is handled now, to a
-// caller or a backend server.
-func (i *instance) SendPacket(datagram []byte, to netip.AddrPort) {
-	if i.running && i.currentPacket != nil {
-		i.world.deliverForwarded(i, i.currentPacket, append([]byte{}, datagram...), to)
+// caller or a backend server, once the link is free.
+func (i *instance) SendPacket(datagram []byte, flow uint64, to netip.AddrPort) {
+	if !i.running || i.currentPacket == nil {
+		return
+	}
+	t, sent := i.currentPacket, append([]byte{}, datagram...)
+	send := func() { i.world.deliverForwarded(i, t, sent, to) }
+	now := i.world.clock.Now()
+	if i.outgoing.Pass(now, len(datagram)) {
+		send()
+		return
+	}
+	if _, waiting := i.outgoing.Wait(now); i.outgoing.Add(now, flow, len(datagram), send) && !waiting {
+		i.sendOutgoing(i.boot)
+	}
+}
+
+// sendOutgoing sends the packets that wait for the link, until none is left or the boot
+// ends.
+func (i *instance) sendOutgoing(boot int) {
+	if i.boot != boot {
+		return
+	}
+	now := i.world.clock.Now()
+	for send, ok := i.outgoing.Next(now); ok; send, ok = i.outgoing.Next(now) {
+		send()
+	}
+	if wait, waiting := i.outgoing.Wait(now); waiting {
+		i.world.clock.After(max(wait, time.Microsecond), func() { i.whenRunning(func() { i.sendOutgoing(boot) }) })
 	}
 }
 
--- a/pkg/emulation/network.go
+++ b/pkg/emulation/network.go
@@ -61,9 +61,9 @@
 	bytesBetweenCentres int
 }
 
-// maxLinkDelay is the longest time for which packets wait for a link; others are
-// dropped.
-const maxLinkDelay = 500 * time.Millisecond
+// linkBuffer is how much a link buffers, in time of its bandwidth; what comes beyond that
+// is dropped. On the users' bench, bursts of 80 ms lost packets, and those of 40 ms didn't.
+const linkBuffer = 50 * time.Millisecond
 
 // reaches reports whether no cut blocks packets in this direction.
 func (n *network) reaches(from, to *node) bool {
@@ -112,7 +112,7 @@
 		return 0, true
 	}
 	now := n.clock.Now()
-	if from.linkFree-now > maxLinkDelay {
+	if from.linkFree-now > linkBuffer {
 		return 0, false
 	}
 	from.linkFree = linkFreeAfter(now, from.linkFree, bytes, from.bytesPerSecond)
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
@@ -34,6 +35,12 @@
 	// maxFlow is how long a flow may last, in nanoseconds.
 	maxFlow     atomic.Int64
 	peerReports chan peerLoads
+	inquiries   chan inquiry
+	answers     chan answer
+	// ask and answer send messages to other instances; ask returns how many of the
+	// data centre it asked.
+	ask    func([]forwarding.Inquiry) int
+	answer func(loads []forwarding.Load, to netip.AddrPort)
 	// publishedLoads are the core's loads as of the last tick, for the exchange.
 	publishedLoads atomic.Pointer[[]forwarding.Load]
 }
@@ -46,13 +53,27 @@
 	aliveInstances int
 }
 
-// peerReportQueue is how many reports of other instances can wait for the decider.
+// inquiry is the question of another instance about backend servers.
+type inquiry struct {
+	marks []mark.Mark
+	from  netip.AddrPort
+}
+
+// answer is the answer of another instance to an inquiry.
+type answer struct {
+	loads         []forwarding.Load
+	ownDataCentre bool
+}
+
+// peerReportQueue is how many reports of other instances can wait for the decider, and
+// how many inquiries and answers.
 const peerReportQueue = 32
 
 func newDecider(o Options, c *forwarding.Core, h Host, m *metrics) *decider {
 	d := &decider{
 		options: o, core: c, host: h, observer: &observer{log: o.Logger, metrics: m},
 		directories: make(chan directory.Directory, 1), peerReports: make(chan peerLoads, peerReportQueue),
+		inquiries: make(chan inquiry, peerReportQueue), answers: make(chan answer, peerReportQueue),
 	}
 	d.maxFlow.Store(int64(o.MaxFlow))
 	return d
@@ -80,6 +101,24 @@
 	}
 }
 
+// queueInquiry passes another instance's inquiry to the decider. A full queue drops it;
+// the instance asks again.
+func (d *decider) queueInquiry(i inquiry) {
+	select {
+	case d.inquiries <- i:
+	default:
+	}
+}
+
+// queueAnswer passes another instance's answer to the decider. A full queue drops it, as
+// if it was lost on the way.
+func (d *decider) queueAnswer(a answer) {
+	select {
+	case d.answers <- a:
+	default:
+	}
+}
+
 // loads returns the loads that this instance's flows show, as of the last tick. The
 // caller must not change the slice.
 func (d *decider) loads() []forwarding.Load {
@@ -109,11 +148,15 @@
 			d.tick()
 		case p := <-d.peerReports:
 			d.core.ReceiveLoads(d.host.Now(), p.name, p.loads, p.aliveInstances)
+		case i := <-d.inquiries:
+			d.answer(d.core.AnswerInquiry(d.host.Now(), i.marks), i.from)
+		case a := <-d.answers:
+			d.core.ReceiveAnswer(d.host.Now(), a.loads, a.ownDataCentre)
 		}
 	}
 }
 
-// applyQueued applies the waiting directories and peer reports. Directories go
+// applyQueued applies the waiting directories and messages of peers. Directories go
 // first, so that equal inputs lead to equal decisions.
 func (d *decider) applyQueued() {
 	for {
@@ -126,6 +169,18 @@
 		select {
 		case p := <-d.peerReports:
 			d.core.ReceiveLoads(d.host.Now(), p.name, p.loads, p.aliveInstances)
+			continue
+		default:
+		}
+		select {
+		case i := <-d.inquiries:
+			d.answer(d.core.AnswerInquiry(d.host.Now(), i.marks), i.from)
+			continue
+		default:
+		}
+		select {
+		case a := <-d.answers:
+			d.core.ReceiveAnswer(d.host.Now(), a.loads, a.ownDataCentre)
 		default:
 			return
 		}
@@ -144,6 +199,12 @@
 func (d *decider) tick() {
 	now := d.host.Now()
 	d.core.Tick(now, time.Duration(d.maxFlow.Load()))
+	if inquiries := d.core.Inquiries(now); len(inquiries) > 0 {
+		asked := d.ask(inquiries)
+		for _, i := range inquiries {
+			d.core.Asked(now, i.Mark, asked)
+		}
+	}
 	d.observer.recordServerStates(d.core.Events())
 	d.observer.logSummary(now)
 	loads := d.core.Loads(now)
@@ -188,9 +249,9 @@
 	switch decision.Verdict {
 	case forwarding.Forward:
 		d.options.Format.SetDestination(datagram, decision.Number, uint32(decision.Mark))
-		d.host.SendPacket(datagram, decision.Endpoint)
+		d.host.SendPacket(datagram, s.Flow.Hash(), decision.Endpoint)
 	case forwarding.Reset:
 		d.resetBuffer = d.options.Format.AppendReset(d.resetBuffer[:0], s)
-		d.host.SendPacket(d.resetBuffer, netip.AddrPortFrom(s.Flow.Caller.Addr(), d.options.Packets.Port()))
+		d.host.SendPacket(d.resetBuffer, s.Flow.Hash(), netip.AddrPortFrom(s.Flow.Caller.Addr(), d.options.Packets.Port()))
 	}
 }
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -26,9 +26,9 @@
 	// AcceptPackets starts the reception of callers' packets. Later calls have no
 	// effect.
 	AcceptPackets()
-	// SendPacket sends a datagram to a caller or a backend server. It may be lost, and
-	// the slice isn't kept.
-	SendPacket(datagram []byte, to netip.AddrPort)
+	// SendPacket sends a datagram to a caller or a backend server. Those of flows with
+	// the same number stay in order. It may be lost, and the slice isn't kept.
+	SendPacket(datagram []byte, flow uint64, to netip.AddrPort)
 	// SendMessage sends a message to another instance. It may be lost, and the slice
 	// isn't kept.
 	SendMessage(datagram []byte, to netip.AddrPort)
@@ -67,6 +67,7 @@
 	e.fetcher = newFetcher(o, e.state, h)
 	e.exchange = newExchange(o, e.state, e.decider, e.fetcher, h)
 	e.fetcher.relay = e.exchange.relay
+	e.decider.ask, e.decider.answer = e.exchange.ask, e.exchange.answer
 	link := &linkBudget{bytesPerSecond: o.LinkBytesPerSecond}
 	e.replicas = newReplicaServer(o, e.state, link, h.Now)
 	e.follower = newFollower(o, e.state, link, e.exchange.push, h)
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -101,8 +101,8 @@
 	// EncodeInstance returns the key and value that register an instance in the
 	// store.
 	EncodeInstance func(directory.Instance) (key string, value []byte, err error)
-	// LinkBytesPerSecond is the bandwidth of the machine's link, 0 if unknown. What
-	// other instances fetch is kept to a share of it.
+	// LinkBytesPerSecond is the bandwidth of the machine's link, 0 if unknown. Packets
+	// are sent at this rate, and what other instances fetch is kept to a share of it.
 	LinkBytesPerSecond float64
 	// MaxFlow is how long a flow may last.
 	MaxFlow time.Duration
@@ -151,7 +151,7 @@
 	if err := i.serve(); err != nil {
 		return err
 	}
-	i.start(sockets.receiver.run, func() { sockets.run(engine.exchange.receive) }, func() { engine.decider.run(ctx, sockets.receiver) })
+	i.start(sockets.receiver.run, sockets.pacer.run, func() { sockets.run(engine.exchange.receive) }, func() { engine.decider.run(ctx, sockets.receiver) })
 	for _, run := range []func(context.Context){engine.follower.run, engine.early.run, engine.exchange.run, engine.fetcher.run, engine.registrar.run} {
 		i.start(func() { run(ctx) })
 	}
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 	wire "github.com/tanagerweir/tanagerweir/service/entry"
 )
@@ -60,7 +64,13 @@
 	if newer {
 		e.fetcher.request(source{endpoint: m.Hello.From.Endpoint, otherDataCentre: otherDataCentre, position: position{revision: m.Hello.Revision, early: m.Hello.EarlyRevision}})
 	}
-	if m.Hello.From.DataCentre == e.dataCentre && len(m.Loads) > 0 {
+	if len(m.Asked) > 0 {
+		e.decider.queueInquiry(inquiry{marks: m.Asked, from: m.Hello.From.Endpoint})
+	}
+	switch {
+	case m.Answer:
+		e.decider.queueAnswer(answer{loads: m.Loads, ownDataCentre: !otherDataCentre})
+	case !otherDataCentre && len(m.Loads) > 0:
 		e.decider.queuePeerLoads(peerLoads{name: m.Hello.From.Name, loads: m.Loads, aliveInstances: e.state.aliveInstances()})
 	}
 }
@@ -94,6 +104,32 @@
 	e.sendDatagram(datagram, e.state.periodPeers(max(limit, 1)))
 }
 
+// ask sends inquiries about backend servers to the instances of this data centre and to
+// some of the servers'. It returns how many of this data centre it asked.
+func (e *exchange) ask(inquiries []forwarding.Inquiry) int {
+	marks := make(map[string][]mark.Mark)
+	for _, i := range inquiries {
+		marks[e.dataCentre] = append(marks[e.dataCentre], i.Mark)
+		if i.DataCentre != e.dataCentre {
+			marks[i.DataCentre] = append(marks[i.DataCentre], i.Mark)
+		}
+	}
+	asked := 0
+	for _, dataCentre := range slices.Sorted(maps.Keys(marks)) {
+		to := e.state.askedPeers(dataCentre)
+		if dataCentre == e.dataCentre {
+			asked = len(to)
+		}
+		e.send(wire.Message{Hello: e.state.hello(), Asked: marks[dataCentre]}, to)
+	}
+	return asked
+}
+
+// answer answers an inquiry of another instance.
+func (e *exchange) answer(loads []forwarding.Load, to netip.AddrPort) {
+	e.send(wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true}, []netip.AddrPort{to})
+}
+
 // push announces changes from the store to other instances.
 func (e *exchange) push() { e.announce(e.state.pushTargets()) }
 
--- a/pkg/process/entry/observer.go
+++ b/pkg/process/entry/observer.go
@@ -79,7 +79,8 @@
 	for _, e := range events {
 		o.metrics.serverStates[e.Now].Inc()
 		o.log.Info("Server: "+serverStateText[e.Now], "Server", e.Server, "Service", e.Service, "DataCentre", e.DataCentre,
-			"Before", e.Before.String(), "Failures", e.Failures, "Stuck", e.Stuck, "Others", e.Others, "SilentFor", e.SilentFor)
+			"Before", e.Before.String(), "Failures", e.Failures, "Stuck", e.Stuck, "Others", e.Others, "SilentFor", e.SilentFor,
+			"Asked", e.Asked, "Answered", e.Answered)
 	}
 }
 
--- a/pkg/process/entry/sockets.go
+++ b/pkg/process/entry/sockets.go
@@ -29,6 +29,7 @@
 	client *http.Client
 	log    *slog.Logger
 	closed atomic.Bool
+	pacer  *pacer
 }
 
 func newSockets(o Options) (*sockets, error) {
@@ -43,11 +44,14 @@
 	}
 	// Other instances come and go, so connections aren't kept alive.
 	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	return &sockets{startedAt: time.Now(), receiver: r, peers: peers, client: &http.Client{Transport: t}, log: o.Logger}, nil
+	s := &sockets{startedAt: time.Now(), receiver: r, peers: peers, client: &http.Client{Transport: t}, log: o.Logger}
+	s.pacer = newPacer(o.LinkBytesPerSecond, s.Now, s.writePacket)
+	return s, nil
 }
 
 func (s *sockets) close() {
 	s.closed.Store(true)
+	s.pacer.close()
 	s.receiver.close()
 	_ = s.peers.Close() // nothing is left to write
 }
@@ -114,8 +118,12 @@
 // AcceptPackets starts the reception of callers' packets. Later calls have no effect.
 func (s *sockets) AcceptPackets() { s.receiver.start() }
 
-// SendPacket sends a datagram to a caller or a backend server.
-func (s *sockets) SendPacket(datagram []byte, to netip.AddrPort) {
+// SendPacket sends a datagram to a caller or a backend server, once the link is free.
+func (s *sockets) SendPacket(datagram []byte, flow uint64, to netip.AddrPort) {
+	s.pacer.send(datagram, flow, to)
+}
+
+func (s *sockets) writePacket(datagram []byte, to netip.AddrPort) {
 	if _, err := s.receiver.conn.WriteToUDPAddrPort(datagram, to); err != nil {
 		s.log.Debug("Packets: a packet can't be sent.", "To", to, "Error", err)
 	}
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -256,6 +256,14 @@
 	return s.members.DataCentrePeers()
 }
 
+// askedPeers returns the endpoints of instances of a data centre that are asked about a
+// backend server.
+func (s *state) askedPeers(dataCentre string) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.AskedPeers(s.now(), dataCentre)
+}
+
 // aliveInstances returns how many other instances of the data centre are alive.
 func (s *state) aliveInstances() int {
 	s.mu.Lock()
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -295,13 +295,38 @@
 func (c *Core) AliveCount(now time.Duration) int {
 	alive := 0
 	for _, p := range c.peers {
-		if p.member.DataCentre == c.self.DataCentre && p.active && now-p.lastHello <= aliveFor {
+		if p.member.DataCentre == c.self.DataCentre && p.alive(now) {
 			alive++
 		}
 	}
 	return alive
 }
 
+const (
+	// askedPeers is how many instances of the own data centre are asked about a
+	// backend server: all of a data centre of the largest deployment by halves.
+	askedPeers = 48
+	// askedElsewhere is how many instances of another data centre are asked: one may
+	// have ended, and one message may be lost.
+	askedElsewhere = 3
+)
+
+// AskedPeers returns the endpoints of living instances of a data centre that are asked
+// about a backend server.
+func (c *Core) AskedPeers(now time.Duration, dataCentre string) []netip.AddrPort {
+	alive := c.endpoints(func(p *peer) bool { return p.member.DataCentre == dataCentre && p.alive(now) })
+	if dataCentre == c.self.DataCentre {
+		return c.sample(alive, askedPeers)
+	}
+	if len(alive) == 0 {
+		alive = c.endpoints(func(p *peer) bool { return p.member.DataCentre == dataCentre })
+	}
+	return c.sample(alive, askedElsewhere)
+}
+
+// alive reports whether the peer sent a hello within aliveFor and isn't leaving.
+func (p *peer) alive(now time.Duration) bool { return p.active && now-p.lastHello <= aliveFor }
+
 // PeriodPeers returns the endpoints for the messages of one period, and is called once
 // in each: at most limit instances of the own data centre, and every otherCentrePeriod
 // one of another. A follower gets up to followerFanout of the endpoints for changes
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -22,6 +22,10 @@
 	// Batch holds changes from the sender's replica of the store's keys; nil
 	// means none.
 	Batch *replica.Batch
+	// Asked are the backend servers that the sender asks about, and Answer says that
+	// Loads answers such an inquiry.
+	Asked  []mark.Mark
+	Answer bool
 }
 
 // hundredths is the number of wire units in one running request.
@@ -40,11 +44,16 @@
 		Follower: m.Hello.Follower, FollowerAgeMilliseconds: toMilliseconds(m.Hello.FollowerAge),
 		EarlyRevision: m.Hello.EarlyRevision, ProgressAgeMilliseconds: proto.Uint32(toMilliseconds(m.Hello.ProgressAge)),
 	}
+	w.Answer = m.Answer
+	for _, a := range m.Asked {
+		w.Asked = append(w.Asked, uint32(a))
+	}
 	for _, l := range m.Loads {
 		w.Loads = append(w.Loads, &Load{
 			Mark: uint32(l.Mark), Open: uint32(l.Open), RunningHundredths: uint32(math.Round(l.Running * hundredths)),
 			Failures: uint32(l.Failures), FailedAgeMilliseconds: toMilliseconds(l.FailedAge),
 			Stuck: uint32(l.Stuck), AliveAgeMilliseconds: toMilliseconds(l.AliveAge),
+			ColdLeftMilliseconds: toMilliseconds(l.ColdLeft),
 		})
 	}
 	if m.Batch != nil {
@@ -80,11 +89,16 @@
 	if w.ProgressAgeMilliseconds != nil {
 		m.Hello.ProgressAge = fromMilliseconds(w.GetProgressAgeMilliseconds())
 	}
+	m.Answer = w.GetAnswer()
+	for _, a := range w.GetAsked() {
+		m.Asked = append(m.Asked, mark.Mark(a))
+	}
 	for _, l := range w.GetLoads() {
 		m.Loads = append(m.Loads, forwarding.Load{
 			Mark: mark.Mark(l.GetMark()), Open: int(l.GetOpen()), Running: float64(l.GetRunningHundredths()) / hundredths,
 			Failures: int(l.GetFailures()), FailedAge: fromMilliseconds(l.GetFailedAgeMilliseconds()),
 			Stuck: int(l.GetStuck()), AliveAge: fromMilliseconds(l.GetAliveAgeMilliseconds()),
+			ColdLeft: fromMilliseconds(l.GetColdLeftMilliseconds()),
 		})
 	}
 	if w.GetBatch() != nil {
--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
 	"github.com/tanagerweir/tanagerweir/service/entry"
@@ -23,8 +24,9 @@
 		EarlyRevision: 415, ProgressAge: 50 * time.Millisecond,
 	},
 	Loads: []forwarding.Load{{
-		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second,
+		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second, ColdLeft: time.Second,
 	}},
+	Asked: []mark.Mark{7, 9}, Answer: true,
 	Batch: &replica.Batch{After: 410, Revision: 412, Changes: []replica.Change{
 		{Key: "a", Value: []byte("1"), Revision: 411}, {Key: "b", Revision: 412, Deleted: true},
 	}},
