Lead callers elsewhere while a data centre reaches no usable server

Change: an instance believes a data centre out of reach after six flows in a row went unanswered there, at two servers or more, with no sign of it for 0.8 s: no answer and no message of an instance. New flows then go elsewhere, and one each 0.5 s tries it. If all usable servers of all services that callers ask for are out of reach, readiness probes fail, until an instance there is heard from or a server answers.

--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -141,6 +141,12 @@
 	// openingsChecked is when checkOpenings last ran.
 	openingsChecked time.Duration
 	events          []Event
+	// reaches are the ways to the data centres, by name, and askedAt when callers
+	// last asked for each service. unserved says that callers aren't served here.
+	reaches     map[string]*reach
+	askedAt     map[string]time.Duration
+	unserved    bool
+	reachEvents []ReachEvent
 }
 
 // New returns a Core without a directory; it drops packets until Adopt.
@@ -148,7 +154,10 @@
 	if o.Policy == nil {
 		o.Policy = placement.Score
 	}
-	return &Core{options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1}
+	return &Core{
+		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
+		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration),
+	}
 }
 
 const (
@@ -244,6 +253,7 @@
 		return Decision{Verdict: Reset, Reason: NoRoute}
 	}
 	c.checkOpenings(now)
+	c.askFor(now, route)
 	f := c.openFlow(now, s)
 	v := c.place(now, route, f)
 	if v == nil {
@@ -298,4 +308,5 @@
 	for _, v := range c.servers.sorted {
 		c.updateState(now, v)
 	}
+	c.updateReach(now)
 }
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -149,14 +149,13 @@
 // recordUnopened is like recordUnanswered, for a flow that the caller doesn't go
 // on to open. A second one of the same caller counts for nothing, as some callers
 // open flows and abandon them.
-func (o *observations) recordUnopened(now time.Duration, f *flow) {
+func (o *observations) recordUnopened(now time.Duration, f *flow) bool {
 	caller := f.key.Caller.Addr()
-	if o.failures > 0 && o.lastCaller == caller {
-		return
-	}
-	if o.recordUnanswered(now, f.lastSent) {
-		o.lastCaller = caller
+	if o.failures > 0 && o.lastCaller == caller || !o.recordUnanswered(now, f.lastSent) {
+		return false
 	}
+	o.lastCaller = caller
+	return true
 }
 
 // recordTrial records that a suspected server gets a flow, so that the next has
@@ -180,8 +179,8 @@
 		*f = flow{key: s.Flow, stored: true, lastPacket: now}
 	}
 	if v := f.lastTried(); v != nil {
-		if !f.failureCounted {
-			v.observed.recordUnanswered(now, f.lastSent)
+		if !f.failureCounted && v.observed.recordUnanswered(now, f.lastSent) {
+			c.reachOf(v.DataCentre).recordFailure(v)
 		}
 		f.countLoad(-1)
 	}
@@ -199,13 +198,18 @@
 	c.openingsChecked = now
 	for f := c.flows.nextUnopened(now - answerTime); f != nil; f = c.flows.nextUnopened(now - answerTime) {
 		f.failureCounted = true
-		f.lastTried().observed.recordUnopened(now, f)
+		if v := f.lastTried(); v.observed.recordUnopened(now, f) {
+			c.reachOf(v.DataCentre).recordFailure(v)
+		}
 	}
 }
 
 // recordPlacement records where an opening packet goes.
 func (c *Core) recordPlacement(now time.Duration, f *flow, v *server) {
 	v.observed.recordTrial(now)
+	if r := c.reachOf(v.DataCentre); r.lost {
+		r.nextTrial = now + reachTrialPeriod
+	}
 	if now < v.coldUntil {
 		v.coldSent = now
 	}
@@ -246,12 +250,14 @@
 	}
 	var events requestEvents
 	waiting := f.waiting
-	if f.acknowledge(now, s) {
-		c.lastAnswer = now
+	if f.acknowledge(s) {
+		c.signOfLife(now, v)
 		events.answered, events.waited = waiting, now-f.lastSent
 	}
 	waiting = f.waiting
-	f.observeData(now, s)
+	if f.observeData(now, s) {
+		c.reachOf(v.DataCentre).recordFailure(v)
+	}
 	events.began = f.waiting && !waiting
 	if s.Flags&(segment.Finish|segment.Abort) != 0 {
 		c.flows.remove(f)
@@ -275,8 +281,7 @@
 		// yet.
 		c.suspectRestart(v, now, now-v.observed.lastSign() >= silentAfter)
 	}
-	v.observed.recordAnswer(now)
-	c.lastAnswer = now
+	c.signOfLife(now, v)
 }
 
 // suspectRestart lets the server count as cold since it may have been started anew
@@ -295,12 +300,11 @@
 
 // acknowledge updates the flow for what the caller acknowledges, and reports
 // whether any of it is new.
-func (f *flow) acknowledge(now time.Duration, s segment.Segment) bool {
+func (f *flow) acknowledge(s segment.Segment) bool {
 	if !s.Flags.Has(segment.Acknowledge) || int32(s.Acknowledged-f.acknowledged) <= 0 {
 		return false
 	}
 	f.acknowledged = s.Acknowledged
-	f.server.observed.recordAnswer(now)
 	if f.waiting {
 		f.waiting = false
 		f.server.observed.running--
@@ -308,10 +312,11 @@
 	return true
 }
 
-// observeData updates the flow for the data that the caller sends.
-func (f *flow) observeData(now time.Duration, s segment.Segment) {
+// observeData updates the flow for the data that the caller sends, and reports whether
+// it shows that the server left earlier data unanswered.
+func (f *flow) observeData(now time.Duration, s segment.Segment) bool {
 	if s.Length == 0 {
-		return
+		return false
 	}
 	end := s.Sequence + uint32(s.Length)
 	if int32(end-f.sentEnd) <= 0 {
@@ -319,13 +324,15 @@
 			f.failureCounted = true
 			if f.server.observed.recordUnanswered(now, f.lastSent) {
 				f.server.observed.stuck++
+				return true
 			}
 		}
-		return
+		return false
 	}
 	f.sentEnd = end
 	if !f.waiting {
 		f.waiting, f.failureCounted, f.lastSent = true, false, now
 		f.server.observed.running++
 	}
+	return false
 }
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -11,14 +11,20 @@
 
 // place chooses the backend server of a new flow, nil if there is none. It
 // prefers warm servers that aren't suspected and weren't tried yet, then
-// suspected ones that weren't tried, then those that were tried, and last cold
-// ones.
+// suspected ones that weren't tried, then those that were tried, and then cold
+// ones; servers out of reach come last.
 func (c *Core) place(now time.Duration, r directory.Route, f *flow) *server {
 	servers := c.servers.byService[serviceOf(r, f.key)]
 	c.draw++
 	for _, accept := range [...]func(*server) bool{
-		func(v *server) bool { return c.warm(now, v) && !f.tried(v) && !v.observed.suspected(now) },
-		func(v *server) bool { return c.warm(now, v) && !f.tried(v) },
+		func(v *server) bool {
+			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
+		},
+		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) },
+		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) },
+		func(v *server) bool {
+			return c.usable(now, v) && c.withinReach(now, v) && c.acceptsCold(now, v)
+		},
 		func(v *server) bool { return c.warm(now, v) },
 		func(v *server) bool { return c.usable(now, v) && c.acceptsCold(now, v) },
 	} {
--- /dev/null
+++ b/pkg/connection/forwarding/reach.go
@@ -0,0 +1,182 @@
+package forwarding
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
+)
+
+const (
+	// lostFailures is how many flows in a row have to go unanswered at the backend
+	// servers of a data centre, at two servers or more, until none of them counts as
+	// within reach.
+	lostFailures = 6
+	// lostAfter is how long there must have been no sign of the data centre by then:
+	// neither an answer of a backend server nor a message of an instance there.
+	lostAfter = 800 * time.Millisecond
+	// reachTrialPeriod is the time between two flows that try a data centre out of
+	// reach.
+	reachTrialPeriod = 500 * time.Millisecond
+	// askedFor is how long a service counts as asked for after a flow for it.
+	askedFor = 2 * time.Second
+)
+
+// reach is what this instance knows of the way to the backend servers of one data
+// centre.
+type reach struct {
+	// lastSign is when a backend server there last answered, and lastMessage when an
+	// instance of another data centre last sent a message.
+	lastSign, lastMessage time.Duration
+	// failures is how many flows went unanswered there since the last sign of life,
+	// and servers the first two backend servers at which they did.
+	failures int
+	servers  [2]*server
+	// lost says that no backend server there is within reach, and lostAt since when.
+	lost   bool
+	lostAt time.Duration
+	// nextTrial is when a flow may try the data centre again.
+	nextTrial time.Duration
+}
+
+// recordSign records a sign of life of a backend server there.
+func (r *reach) recordSign(now time.Duration) {
+	r.lastSign, r.failures, r.servers, r.lost = now, 0, [2]*server{}, false
+}
+
+// recordFailure records that a flow went unanswered at the server.
+func (r *reach) recordFailure(v *server) {
+	r.failures++
+	switch {
+	case r.servers[0] == nil:
+		r.servers[0] = v
+	case r.servers[0] != v:
+		r.servers[1] = v
+	}
+}
+
+// update decides whether the data centre is within reach.
+func (r *reach) update(now time.Duration) {
+	switch {
+	case r.lost:
+		r.lost = r.lastMessage <= r.lostAt
+		if !r.lost {
+			r.failures, r.servers = 0, [2]*server{}
+		}
+	case r.failures >= lostFailures && r.servers[1] != nil && now-max(r.lastSign, r.lastMessage) >= lostAfter:
+		r.lost, r.lostAt, r.nextTrial = true, now, now+reachTrialPeriod
+	}
+}
+
+// reachOf returns what is known of the way to a data centre.
+func (c *Core) reachOf(dataCentre string) *reach {
+	r, ok := c.reaches[dataCentre]
+	if !ok {
+		r = &reach{}
+		c.reaches[dataCentre] = r
+	}
+	return r
+}
+
+// signOfLife records that a backend server answered.
+func (c *Core) signOfLife(now time.Duration, v *server) {
+	v.observed.recordAnswer(now)
+	c.reachOf(v.DataCentre).recordSign(now)
+	c.lastAnswer = now
+}
+
+// HeardFrom records that an instance of another data centre sent a message.
+func (c *Core) HeardFrom(now time.Duration, dataCentre string) {
+	c.reachOf(dataCentre).lastMessage = now
+}
+
+// withinReach reports whether a new flow may go to the backend server's data centre.
+func (c *Core) withinReach(now time.Duration, v *server) bool {
+	r, ok := c.reaches[v.DataCentre]
+	return !ok || !r.lost || now >= r.nextTrial
+}
+
+// updateReach decides which data centres are within reach, and whether callers are
+// served here.
+func (c *Core) updateReach(now time.Duration) {
+	for _, dataCentre := range slices.Sorted(maps.Keys(c.reaches)) {
+		r := c.reaches[dataCentre]
+		before := r.lost
+		r.update(now)
+		if r.lost != before {
+			c.reachEvents = append(c.reachEvents, ReachEvent{
+				DataCentre: dataCentre, Lost: r.lost, Failures: r.failures, SilentFor: now - max(r.lastSign, r.lastMessage),
+			})
+		}
+	}
+	c.updateServed(now)
+}
+
+// updateServed decides whether callers are served here. They aren't if, of all services
+// that they ask for, the only usable backend servers are out of reach. While nobody
+// asks, as routers send callers elsewhere, it waits for a sign of these servers.
+func (c *Core) updateServed(now time.Duration) {
+	asked := false
+	for service, at := range c.askedAt {
+		if now-at > askedFor {
+			continue
+		}
+		asked = true
+		if !c.outOfReach(now, service) {
+			c.unserved = false
+			return
+		}
+	}
+	switch {
+	case asked:
+		c.unserved = true
+	case c.unserved:
+		c.unserved = !slices.ContainsFunc(c.servers.sorted, func(v *server) bool { return c.usable(now, v) && !c.reachOf(v.DataCentre).lost })
+	}
+}
+
+// outOfReach reports whether the service has usable backend servers, all of which are
+// out of reach.
+func (c *Core) outOfReach(now time.Duration, service string) bool {
+	lost := false
+	for _, v := range c.servers.byService[service] {
+		if !c.usable(now, v) {
+			continue
+		}
+		if !c.reachOf(v.DataCentre).lost {
+			return false
+		}
+		lost = true
+	}
+	return lost
+}
+
+// Served reports whether callers are served here, as of the last Tick. If not, routers
+// should lead them to another data centre.
+func (c *Core) Served() bool { return !c.unserved }
+
+// askFor records that a caller asks for one of the route's services.
+func (c *Core) askFor(now time.Duration, r directory.Route) {
+	for _, s := range r.Shares {
+		c.askedAt[s.Service] = now
+	}
+}
+
+// ReachEvent is a change of whether the backend servers of a data centre are within
+// reach.
+type ReachEvent struct {
+	DataCentre string
+	Lost       bool
+	// Failures is how many flows went unanswered there in a row, and SilentFor how long
+	// ago the last sign of the data centre was.
+	Failures  int
+	SilentFor time.Duration
+}
+
+// ReachEvents returns the changes since the last call, oldest first.
+func (c *Core) ReachEvents() []ReachEvent {
+	events := c.reachEvents
+	c.reachEvents = nil
+	return events
+}
--- /dev/null
+++ b/pkg/connection/forwarding/reach_test.go
@@ -0,0 +1,139 @@
+package forwarding_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+)
+
+const tick = 100 * time.Millisecond
+
+// passTime opens flows of the feed, one each 50 ms, until the given time, and ticks. The
+// servers for which answers returns true answer. It returns the time and the number of
+// flows that went to each data centre.
+func passTime(t *testing.T, c *forwarding.Core, now, until time.Duration, answers func(dataCentre string) bool) (time.Duration, map[string]int) {
+	t.Helper()
+	placed := make(map[string]int)
+	for ; now < until; now += tick / 2 {
+		p, d := opened(t, c, now, feedRoute)
+		placed[d.DataCentre]++
+		if answers(d.DataCentre) {
+			c.Decide(now+time.Millisecond, p.request())
+		}
+		c.Tick(now+2*time.Millisecond, maxFlow)
+	}
+	return now, placed
+}
+
+func nobody(string) bool { return false }
+
+func everybody(string) bool { return true }
+
+// takenOut returns a core whose own data centre is taken out, so that flows go to the
+// other one, which answers for a second.
+func takenOut(t *testing.T) (*forwarding.Core, time.Duration) {
+	t.Helper()
+	c := newCore(deployment().WithEvacuated(near, true))
+	now, placed := passTime(t, c, tick, time.Second, everybody)
+	if placed[far] == 0 || placed[near] > 0 || !c.Served() {
+		t.Fatalf("placed %v, served %v", placed, c.Served())
+	}
+	return c, now
+}
+
+// Callers of a data centre whose instances may not use its servers and reach no others
+// are served elsewhere, so routers have to learn it soon.
+func TestCallersAreNotServedWhileAllUsableServersAreOutOfReach(t *testing.T) {
+	c, now := takenOut(t)
+	cut := now
+	for c.Served() {
+		now, _ = passTime(t, c, now, now+tick, nobody)
+		if now > cut+2*time.Second {
+			t.Fatal("still taken for served 2 s after the cut")
+		}
+	}
+	// Routers lead callers elsewhere now, so that nothing shows the servers.
+	for range 100 {
+		now += tick
+		c.Tick(now, maxFlow)
+	}
+	if c.Served() {
+		t.Fatal("served without any sign of the servers")
+	}
+	c.HeardFrom(now, far)
+	c.Tick(now+tick, maxFlow)
+	if !c.Served() {
+		t.Error("not served although the other data centre was heard from")
+	}
+}
+
+// Without servers anywhere, readiness helps nobody: routers know no better place.
+func TestInstanceStaysReadyWhen(t *testing.T) {
+	for name, play := range map[string]func(c *forwarding.Core, now time.Duration){
+		"the other data centre is heard from": func(c *forwarding.Core, now time.Duration) {
+			for end := now + 5*time.Second; now < end; {
+				c.HeardFrom(now, far)
+				now, _ = passTime(t, c, now, now+tick, nobody)
+			}
+		},
+		"one server answers": func(c *forwarding.Core, now time.Duration) {
+			p, _ := opened(t, c, now, feedRoute)
+			c.Decide(now, p.request())
+			for end := now + 5*time.Second; now < end; {
+				now, _ = passTime(t, c, now, now+5*tick, nobody)
+				c.Decide(now, p.acknowledge())
+			}
+		},
+		"nobody asks": func(c *forwarding.Core, now time.Duration) {
+			for range 50 {
+				now += tick
+				c.Tick(now, maxFlow)
+			}
+		},
+	} {
+		c, now := takenOut(t)
+		play(c, now)
+		if !c.Served() {
+			t.Errorf("%s: not served", name)
+		}
+	}
+}
+
+// A service without reach must not cost the callers of the others.
+func TestOneServiceOutOfReachLeavesTheInstanceReady(t *testing.T) {
+	d := configured()
+	for n := range 3 {
+		d = d.WithServer(serverOf(feedService, far, n+1)).WithServer(serverOf(ledgerService, near, n+1))
+	}
+	c := newCore(d)
+	for now := tick; now < 5*time.Second; {
+		p, _ := opened(t, c, now, uploadRoute)
+		c.Decide(now+time.Millisecond, p.request())
+		now, _ = passTime(t, c, now+2*time.Millisecond, now+tick, nobody)
+		if !c.Served() {
+			t.Fatalf("not served after %v", now)
+		}
+	}
+}
+
+// New flows go where servers answer, and only single ones try the others.
+func TestDataCentreOutOfReachGetsSingleFlows(t *testing.T) {
+	d := configured()
+	for n := range 3 {
+		d = d.WithServer(serverOf(feedService, far, n+1)).WithServer(serverOf(feedService, "farthest", n+1))
+	}
+	c := newCore(d)
+	lost := func(dataCentre string) bool { return dataCentre != far }
+	now, _ := passTime(t, c, tick, 3*time.Second, lost)
+	if events := c.ReachEvents(); len(events) != 1 || events[0].DataCentre != far || !events[0].Lost {
+		t.Errorf("events %+v", events)
+	}
+	_, placed := passTime(t, c, now, now+4*time.Second, lost)
+	if placed[far] > 9 || placed["farthest"] < 70 {
+		t.Errorf("placed %v in 4 s", placed)
+	}
+	if !c.Served() {
+		t.Error("not served although one data centre answers")
+	}
+}
--- a/pkg/emulation/days_test.go
+++ b/pkg/emulation/days_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// Callers of a data centre whose instances reach no usable server have to be led to other
+// data centres: half of the day's requests there fall into the cut, and what is lost until
+// the routers know may be a tenth at most.
+func TestCallersOfACutOffDataCentreAreServedElsewhere(t *testing.T) {
+	d, err := day.Load(examples + "regressions/cut-off-without-servers.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range uint64(seedsPerDay) {
+		r := runDay(t, d, emulation.Options{Seed: seed + 1})
+		for _, c := range r.DataCentres {
+			if float64(c.Served) < 0.9*float64(c.Asked) {
+				t.Errorf("seed %d, %s: %d of %d requests served", seed+1, c.Name, c.Served, c.Asked)
+			}
+		}
+	}
+}
+
 func TestDrawnDays(t *testing.T) {
 	for name, seeds := range brokenSeeds {
 		d := load(t, name)
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -21,6 +21,7 @@
 type decider struct {
 	options     Options
 	core        *forwarding.Core
+	readiness   *readiness
 	observer    *observer
 	version     directory.Version
 	host        Host
@@ -37,6 +38,8 @@
 	peerReports chan peerLoads
 	inquiries   chan inquiry
 	answers     chan answer
+	// heard receives the data centre of each message from another one.
+	heard chan string
 	// ask and answer send messages to other instances; ask returns how many of the
 	// data centre it asked.
 	ask    func([]forwarding.Inquiry) int
@@ -69,11 +72,12 @@
 // how many inquiries and answers.
 const peerReportQueue = 32
 
-func newDecider(o Options, c *forwarding.Core, h Host, m *metrics) *decider {
+func newDecider(o Options, c *forwarding.Core, r *readiness, h Host, m *metrics) *decider {
 	d := &decider{
-		options: o, core: c, host: h, observer: &observer{log: o.Logger, metrics: m},
+		options: o, core: c, readiness: r, host: h, observer: &observer{log: o.Logger, metrics: m},
 		directories: make(chan directory.Directory, 1), peerReports: make(chan peerLoads, peerReportQueue),
 		inquiries: make(chan inquiry, peerReportQueue), answers: make(chan answer, peerReportQueue),
+		heard: make(chan string, peerReportQueue),
 	}
 	d.maxFlow.Store(int64(o.MaxFlow))
 	return d
@@ -119,6 +123,15 @@
 	}
 }
 
+// queueHeard passes the data centre of a message to the decider. A full queue drops it,
+// as if the message was lost.
+func (d *decider) queueHeard(dataCentre string) {
+	select {
+	case d.heard <- dataCentre:
+	default:
+	}
+}
+
 // loads returns the loads that this instance's flows show, as of the last tick. The
 // caller must not change the slice.
 func (d *decider) loads() []forwarding.Load {
@@ -152,6 +165,8 @@
 			d.answer(d.core.AnswerInquiry(d.host.Now(), i.marks), i.from)
 		case a := <-d.answers:
 			d.core.ReceiveAnswer(d.host.Now(), a.loads, a.ownDataCentre)
+		case dataCentre := <-d.heard:
+			d.core.HeardFrom(d.host.Now(), dataCentre)
 		}
 	}
 }
@@ -181,6 +196,12 @@
 		select {
 		case a := <-d.answers:
 			d.core.ReceiveAnswer(d.host.Now(), a.loads, a.ownDataCentre)
+			continue
+		default:
+		}
+		select {
+		case dataCentre := <-d.heard:
+			d.core.HeardFrom(d.host.Now(), dataCentre)
 		default:
 			return
 		}
@@ -206,6 +227,10 @@
 		}
 	}
 	d.observer.recordServerStates(d.core.Events())
+	d.observer.recordReach(d.core.ReachEvents())
+	if d.readiness.setServed(d.core.Served()) {
+		d.observer.recordServed(d.core.Served())
+	}
 	d.observer.logSummary(now)
 	loads := d.core.Loads(now)
 	d.publishedLoads.Store(&loads)
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -62,7 +62,7 @@
 		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, Policy: o.Policy, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
 	})
 	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) })
-	e.decider = newDecider(o, core, h, metrics)
+	e.decider = newDecider(o, core, e.readiness, h, metrics)
 	e.state = newState(o, e.decider, e.readiness, h.Now)
 	e.fetcher = newFetcher(o, e.state, h)
 	e.exchange = newExchange(o, e.state, e.decider, e.fetcher, h)
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -57,6 +57,9 @@
 		return
 	}
 	otherDataCentre := m.Hello.From.DataCentre != e.dataCentre
+	if otherDataCentre {
+		e.decider.queueHeard(m.Hello.From.DataCentre)
+	}
 	advanced, newer := e.state.receiveHello(m.Hello, m.Batch)
 	if advanced && otherDataCentre {
 		e.relay()
--- a/pkg/process/entry/observer.go
+++ b/pkg/process/entry/observer.go
@@ -6,6 +6,7 @@
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
+	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
 )
 
 // observer logs and counts the decisions of the forwarding core. Only the decider
@@ -84,6 +85,26 @@
 	}
 }
 
+// recordReach logs which data centres' backend servers come within reach or leave it.
+func (o *observer) recordReach(events []forwarding.ReachEvent) {
+	for _, e := range events {
+		message := "DataCentre: its servers are within reach again."
+		if e.Lost {
+			message = "DataCentre: its servers are out of reach."
+		}
+		o.log.InfoContext(logs.Always(), message, "DataCentre", e.DataCentre, "Failures", e.Failures, "SilentFor", e.SilentFor)
+	}
+}
+
+// recordServed logs whether callers can be served.
+func (o *observer) recordServed(served bool) {
+	if served {
+		o.log.InfoContext(logs.Always(), "Instance: callers can be served again; ready.")
+		return
+	}
+	o.log.WarnContext(logs.Always(), "Instance: all usable servers are out of reach; not ready, so that routers lead callers elsewhere.")
+}
+
 var serverStateText = [...]string{
 	forwarding.Answering: "answers.", forwarding.Suspected: "suspected.", forwarding.Silent: "silent, flows there are given up.",
 }
--- a/pkg/process/entry/ready.go
+++ b/pkg/process/entry/ready.go
@@ -13,9 +13,10 @@
 const readyDeadline = time.Second
 
 // readiness decides the result of readiness probes: the instance is ready once it has
-// a configuration, and never again after it begins to stop. Its methods may be called
-// from any goroutine.
-type readiness struct{ configured, stopping atomic.Bool }
+// a configuration, and never again after it begins to stop. Meanwhile it is ready as
+// long as callers can be served, or routers know no other way for them. Its methods may
+// be called from any goroutine.
+type readiness struct{ configured, stopping, unserved atomic.Bool }
 
 // setConfigured records that the instance has a configuration, and so can decide about
 // packets. It returns false if that was recorded before.
@@ -25,7 +26,12 @@
 
 func (r *readiness) isStopping() bool { return r.stopping.Load() }
 
-func (r *readiness) isReady() bool { return r.configured.Load() && !r.stopping.Load() }
+// setServed records whether callers are served here, and reports whether that changed.
+func (r *readiness) setServed(served bool) bool { return r.unserved.Swap(!served) == served }
+
+func (r *readiness) isReady() bool {
+	return r.configured.Load() && !r.stopping.Load() && !r.unserved.Load()
+}
 
 func newReadyServer(o Options, ready *readiness) (*webServer, error) {
 	listener, err := net.Listen("tcp4", o.Ready.String())
--- a/pkg/process/instance/entrance_test.go
+++ b/pkg/process/instance/entrance_test.go
@@ -223,6 +223,10 @@
 	}
 }
 
+// claimPause is the time between two claims of a test: less often than an instance of a
+// fleet of nine may claim.
+const claimPause = 100 * time.Millisecond
+
 func TestKeyRunsOnceThroughTwoInstances(t *testing.T) {
 	t.Parallel()
 	ctx := testContext(t)
@@ -237,6 +241,8 @@
 	before := submitResult{Verdict: api.Verdict_VERDICT_RAN, Cause: claim.CauseRanBefore}
 	var got submitResult
 	for got != before && ctx.Err() == nil {
+		// Each request makes a claim, whose rate is bounded.
+		time.Sleep(claimPause)
 		got = submitKey(ctx, t, cluster, 1, key, "a")
 		if got.Verdict == api.Verdict_VERDICT_NOT_RUN {
 			t.Fatalf("at another instance: %v", got)
