Give flows up together at a data centre that is out of reach

Cause: after a data centre lost power, routers lead its callers to others, with flows to servers that are dead.

Change: an instance that finds a data centre out of reach asks the others of its own about the servers there. If half of them or four answer and none has seen an answer since, repeatable flows at all of its servers are given up.

--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -61,6 +61,9 @@
 	ServerGone
 	// ServerSilent: the named backend server answers no instance of the data centre.
 	ServerSilent
+	// OutOfReach: no backend server of the named one's data centre answers any instance
+	// of this one.
+	OutOfReach
 	// NoRoute: no route has this address.
 	NoRoute
 	// NoServer: no backend server can take a new flow of the route.
@@ -70,7 +73,7 @@
 )
 
 var reasonNames = [...]string{
-	"ByMark", "Placed", "PlacedAgain", "NoMark", "UnknownMark", "ServerGone", "ServerSilent", "NoRoute", "NoServer", "Unsynchronised",
+	"ByMark", "Placed", "PlacedAgain", "NoMark", "UnknownMark", "ServerGone", "ServerSilent", "OutOfReach", "NoRoute", "NoServer", "Unsynchronised",
 }
 
 // Reasons returns all reasons, in the order of their values.
@@ -234,6 +237,8 @@
 		return ServerGone, true
 	case v.observed.silent(now, c.lastAnswer, c.peerCount):
 		return ServerSilent, true
+	case c.reachOf(v.DataCentre).confirmed(now, c.peerCount):
+		return OutOfReach, true
 	}
 	return ByMark, false
 }
--- a/pkg/connection/forwarding/inquiry.go
+++ b/pkg/connection/forwarding/inquiry.go
@@ -50,18 +50,22 @@
 
 // confirmed reports whether the answers so far suffice. What they say is in lastAlive.
 func (i inquiry) confirmed(now time.Duration) bool {
-	if i.askedAt == 0 || now-i.askedAt < inquiryWait {
-		return false
-	}
-	return i.answered >= min(enoughAnswers, (i.asked+1)/2)
+	return enough(now, i.askedAt, i.asked, i.answered)
+}
+
+// enough reports whether enough of the instances that were asked at that time have
+// answered.
+func enough(now, askedAt time.Duration, asked, answered int) bool {
+	return askedAt > 0 && now-askedAt >= inquiryWait && answered >= min(enoughAnswers, (asked+1)/2)
 }
 
-// Inquiries returns the backend servers to ask other instances about now.
+// Inquiries returns the backend servers to ask other instances about now: those that seem
+// to be silent, and all of a data centre out of reach, as far as they fit.
 func (c *Core) Inquiries(now time.Duration) []Inquiry {
 	if c.peerCount == 0 {
 		return nil
 	}
-	var inquiries []Inquiry
+	inquiries := c.reachInquiries(now)
 	for _, v := range c.servers.sorted {
 		if len(inquiries) == maxInquiries {
 			break
@@ -73,11 +77,31 @@
 	return inquiries
 }
 
+// reachInquiries returns backend servers of data centres out of reach.
+func (c *Core) reachInquiries(now time.Duration) []Inquiry {
+	var inquiries []Inquiry
+	for _, v := range c.servers.sorted {
+		if r := c.reaches[v.DataCentre]; r == nil || !r.lost || r.askedAt > 0 && now-r.askedAt < inquiryPeriod {
+			continue
+		}
+		if len(inquiries) == maxInquiries {
+			break
+		}
+		inquiries = append(inquiries, Inquiry{Mark: v.mark, DataCentre: v.DataCentre})
+	}
+	return inquiries
+}
+
 // Asked records that an inquiry about a backend server was sent to so many instances of
 // the own data centre.
 func (c *Core) Asked(now time.Duration, m mark.Mark, peers int) {
-	if v, ok := c.servers.byMark[m]; ok {
-		v.observed.inquiry = inquiry{askedAt: now, asked: peers, lastAlive: v.observed.inquiry.lastAlive}
+	v, ok := c.servers.byMark[m]
+	if !ok {
+		return
+	}
+	v.observed.inquiry = inquiry{askedAt: now, asked: peers, lastAlive: v.observed.inquiry.lastAlive}
+	if r := c.reachOf(v.DataCentre); r.lost {
+		r.askedAt, r.asked, r.answered = now, peers, 0
 	}
 }
 
@@ -97,14 +121,23 @@
 // another one, to an inquiry.
 func (c *Core) ReceiveAnswer(now time.Duration, loads []Load, ownDataCentre bool) {
 	c.receiveSuspicions(now, loads)
+	counted := make(map[*reach]bool)
 	for _, l := range loads {
 		v, ok := c.servers.byMark[l.Mark]
 		if !ok {
 			continue
 		}
 		v.observed.inquiry.lastAlive = max(v.observed.inquiry.lastAlive, now-l.AliveAge)
+		r := c.reachOf(v.DataCentre)
+		if sign := now - l.AliveAge; ownDataCentre && r.lost && sign > r.lastSign && now-sign < lostAfter {
+			r.recordSign(sign)
+		}
 		if ownDataCentre {
 			v.observed.inquiry.answered++
+			if !counted[r] {
+				r.answered++
+				counted[r] = true
+			}
 		}
 	}
 }
--- a/pkg/connection/forwarding/reach.go
+++ b/pkg/connection/forwarding/reach.go
@@ -38,6 +38,10 @@
 	lostAt time.Duration
 	// nextTrial is when a flow may try the data centre again.
 	nextTrial time.Duration
+	// askedAt is when other instances were last asked about it while it was lost, asked
+	// how many of them, and answered how many of these answered.
+	askedAt         time.Duration
+	asked, answered int
 }
 
 // recordSign records a sign of life of a backend server there.
@@ -66,9 +70,19 @@
 		}
 	case r.failures >= lostFailures && r.servers[1] != nil && now-max(r.lastSign, r.lastMessage) >= lostAfter:
 		r.lost, r.lostAt, r.nextTrial = true, now, now+reachTrialPeriod
+		r.askedAt, r.asked, r.answered = 0, 0, 0
 	}
 }
 
+// confirmed reports whether enough instances of the own data centre have answered that
+// they see no sign of the servers there either. Without other instances, peers is 0.
+func (r *reach) confirmed(now time.Duration, peers int) bool {
+	if !r.lost || peers == 0 {
+		return r.lost
+	}
+	return enough(now, r.askedAt, r.asked, r.answered)
+}
+
 // reachOf returns what is known of the way to a data centre.
 func (c *Core) reachOf(dataCentre string) *reach {
 	r, ok := c.reaches[dataCentre]
--- a/pkg/connection/forwarding/reach_test.go
+++ b/pkg/connection/forwarding/reach_test.go
@@ -137,3 +137,50 @@
 		t.Error("not served although one data centre answers")
 	}
 }
+
+// With a data centre that lost power, hundreds of servers go silent at once, each with too
+// few flows at one instance to show it. Their flows are given up together, once other
+// instances see no sign of them either.
+func TestFlowsAtADataCentreOutOfReachAreGivenUp(t *testing.T) {
+	const peers = 4
+	for _, test := range []struct {
+		name    string
+		answers int
+		age     time.Duration
+		want    forwarding.Verdict
+	}{
+		{"nobody answers", 0, time.Minute, forwarding.Forward},
+		{"others see nothing", 2, time.Minute, forwarding.Reset},
+		{"one has seen an answer", 2, 200 * time.Millisecond, forwarding.Forward},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, now := takenOut(t)
+			c.ReceiveLoads(now, "other", nil, peers)
+			p, d := opened(t, c, now, feedRoute)
+			c.Decide(now+time.Millisecond, p.request())
+			now, _ = passTime(t, c, now+2*time.Millisecond, now+1500*time.Millisecond, nobody)
+			if events := c.ReachEvents(); len(events) != 1 || !events[0].Lost {
+				t.Fatalf("events %+v", events)
+			}
+			var loads []forwarding.Load
+			for _, i := range c.Inquiries(now) {
+				if i.DataCentre != far {
+					t.Errorf("asks about %+v", i)
+				}
+				c.Asked(now, i.Mark, peers)
+				loads = append(loads, forwarding.Load{Mark: i.Mark, AliveAge: time.Minute})
+			}
+			if len(loads) < 3 {
+				t.Fatalf("asks about %d servers", len(loads))
+			}
+			loads[len(loads)-1].AliveAge = test.age
+			for range test.answers {
+				c.ReceiveAnswer(now, loads, true)
+			}
+			now += 100 * time.Millisecond
+			if got := c.Decide(now, p.request()); got.Verdict != test.want || got.Verdict == forwarding.Reset && got.Reason != forwarding.OutOfReach {
+				t.Errorf("flow at server %q: %+v", d.Server, got)
+			}
+		})
+	}
+}
--- a/pkg/process/explanation/cause.go
+++ b/pkg/process/explanation/cause.go
@@ -14,6 +14,7 @@
 	"NoServer":       "no backend server of the route could take a new flow in version %[2]s",
 	"ServerGone":     "backend server %[1]s ended while the flow was open",
 	"ServerSilent":   "backend server %[1]s answered nobody, so its flows were given up",
+	"OutOfReach":     "no backend server of the data centre of %[1]s answered any instance here, so flows there were given up",
 	"UnknownMark":    "the packet named a backend server that the instance didn't know, with a copy confirmed %[3]s before",
 	"Unsynchronised": "the instance had no configuration yet",
 }
