Count other instances' failures for a data centre's reach, and name it in weirctl why

Change: failures that other instances of the data centre report count too, beside one of the instance's own; a sign of life that they report prevents it. Nothing is read early from a store that doesn't answer at all: the log said that a large change arrived, and each such reading is a call. weirctl why names a data centre that was out of reach, since when and by what evidence, and says before or after.

--- a/pkg/connection/forwarding/reach.go
+++ b/pkg/connection/forwarding/reach.go
@@ -11,7 +11,7 @@
 const (
 	// lostFailures is how many flows in a row have to go unanswered at the backend
 	// servers of a data centre, at two servers or more, until none of them counts as
-	// within reach.
+	// within reach: one or more of this instance, and those that others report.
 	lostFailures = 6
 	// lostAfter is how long there must have been no sign of the data centre by then:
 	// neither an answer of a backend server nor a message of an instance there.
@@ -33,6 +33,8 @@
 	// and servers the first two backend servers at which they did.
 	failures int
 	servers  [2]*server
+	// others sums up what other instances of the own data centre report.
+	others othersReach
 	// lost says that no backend server there is within reach, and lostAt since when.
 	lost   bool
 	lostAt time.Duration
@@ -44,6 +46,14 @@
 	asked, answered int
 }
 
+// othersReach is what other instances report of the servers of one data centre.
+type othersReach struct {
+	lastSign time.Duration
+	// failures is the number of flows that went unanswered, servers that of the servers
+	// at which they did.
+	failures, servers int
+}
+
 // recordSign records a sign of life of a backend server there.
 func (r *reach) recordSign(now time.Duration) {
 	r.lastSign, r.failures, r.servers, r.lost = now, 0, [2]*server{}, false
@@ -68,7 +78,8 @@
 		if !r.lost {
 			r.failures, r.servers = 0, [2]*server{}
 		}
-	case r.failures >= lostFailures && r.servers[1] != nil && now-max(r.lastSign, r.lastMessage) >= lostAfter:
+	case r.failures > 0 && r.failures+r.others.failures >= lostFailures && (r.servers[1] != nil || r.others.servers > 1) &&
+		now-max(r.lastSign, r.others.lastSign, r.lastMessage) >= lostAfter:
 		r.lost, r.lostAt, r.nextTrial = true, now, now+reachTrialPeriod
 		r.askedAt, r.asked, r.answered = 0, 0, 0
 	}
@@ -114,6 +125,7 @@
 // updateReach decides which data centres are within reach, and whether callers are
 // served here.
 func (c *Core) updateReach(now time.Duration) {
+	c.combineReach(now)
 	for _, dataCentre := range slices.Sorted(maps.Keys(c.reaches)) {
 		r := c.reaches[dataCentre]
 		before := r.lost
@@ -127,6 +139,25 @@
 	c.updateServed(now)
 }
 
+// combineReach sums up the reports of other instances by data centre.
+func (c *Core) combineReach(now time.Duration) {
+	for _, r := range c.reaches {
+		r.others = othersReach{}
+	}
+	for _, v := range c.servers.sorted {
+		r, ok := c.reaches[v.DataCentre]
+		if !ok {
+			continue
+		}
+		o := &v.observed.others
+		r.others.lastSign = max(r.others.lastSign, o.lastAlive)
+		if o.failures > 0 && o.lastAlive < o.lastFailure && now-o.lastFailure <= silentPeriod {
+			r.others.failures += o.failures
+			r.others.servers++
+		}
+	}
+}
+
 // updateServed decides whether callers are served here. They aren't if, of all services
 // that they ask for, the only usable backend servers are out of reach. While nobody
 // asks, as routers send callers elsewhere, it waits for a sign of these servers.
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -70,12 +70,12 @@
 	failedCalls int
 	// readAll is set when the next call has to read all keys instead of watching.
 	readAll bool
-	// loadingSince is when the response to the present call began or should have begun,
-	// in nanoseconds since the start, or notLoading.
+	// loadingSince is when the response that arrives now began, in nanoseconds since
+	// the start, or notLoading.
 	loadingSince atomic.Int64
 }
 
-// notLoading says that no call is being made.
+// notLoading says that no response arrives.
 const notLoading = -1
 
 func newFollower(o Options, s *state, link *linkBudget, push func(), h Host) *follower {
@@ -139,14 +139,9 @@
 	atStart := f.state.revision() == 0
 	whole := f.readAll || atStart
 	most, received := max(int64(f.state.size()), f.link.abandonedSize()), int64(0)
-	due := f.host.Now()
-	if !whole {
-		due += watchWait
-	}
-	f.loadingSince.Store(int64(due))
 	ctx = transfer.WithTrace(ctx, transfer.Trace{
 		Began: func(size int64) {
-			f.loadingSince.Store(min(int64(due), int64(f.host.Now())))
+			f.loadingSince.Store(int64(f.host.Now()))
 			if !whole && size > most {
 				cancel(errMoreThanAll)
 			}
@@ -168,8 +163,8 @@
 	return f.store.Watch(ctx, "", f.state.revision(), watchWait)
 }
 
-// loadingFor returns for how long the response to the present call has been arriving or
-// overdue, 0 or less if it isn't.
+// loadingFor returns for how long the response that arrives now has been arriving, 0 if
+// there is none.
 func (f *follower) loadingFor() time.Duration {
 	if since := f.loadingSince.Load(); since != notLoading {
 		return f.host.Now() - time.Duration(since)
--- a/pkg/process/entry/transfer_test.go
+++ b/pkg/process/entry/transfer_test.go
@@ -195,3 +195,19 @@
 		t.Error("the large configuration arrived first")
 	}
 }
+
+// While the store doesn't answer at all, further calls gain nothing.
+func TestNothingIsReadEarlyFromASilentStore(t *testing.T) {
+	stand, store := stores(t)
+	stand.Put("op/config", fmt.Appendf(nil, configuration, 1))
+	o := options(t, "entry-1", store)
+	var log lockedBuffer
+	o.Logger = slog.New(slog.NewJSONHandler(&log, nil))
+	start(t, o)
+	waitUntil(t, "the instance is ready", func() bool { return isReady(o.Ready) })
+	stand.SetFault(standin.Fault{Silent: true})
+	waitUntil(t, "two calls have failed", func() bool { return strings.Count(log.String(), "the store can't be read") == 2 })
+	if strings.Contains(log.String(), "reading others early") {
+		t.Error("changes were read early")
+	}
+}
--- a/pkg/process/explanation/cause.go
+++ b/pkg/process/explanation/cause.go
@@ -38,6 +38,9 @@
 			break
 		}
 	}
+	if cause := reachCause(last, lines); cause != "" {
+		return cause
+	}
 	if cause := serverCause(last, lines); cause != "" {
 		return cause
 	}
@@ -103,6 +106,42 @@
 	return ""
 }
 
+// reachWindow is how long before the flow's last packet its data centre may have come
+// within reach again and still explain a failure.
+const reachWindow = 2 * time.Second
+
+// reachCause returns that the data centre of the flow's backend server was out of reach
+// of its instance, or "" if the lines don't show it.
+func reachCause(last Line, lines []Line) string {
+	var lost Line
+	for _, l := range lines {
+		if l.Instance != last.Instance || l.Fields["DataCentre"] != last.Fields["DataCentre"] {
+			continue
+		}
+		switch l.Message {
+		case "DataCentre: its servers are out of reach.":
+			lost = l
+		case "DataCentre: its servers are within reach again.":
+			if l.At.Before(last.At.Add(-reachWindow)) {
+				lost = Line{}
+			}
+		}
+	}
+	if lost.Message == "" {
+		return ""
+	}
+	return fmt.Sprintf("the servers of data centre %s were out of reach of instance %s from %s on: %s flows in a row unanswered there, and no sign of it for %s",
+		lost.Fields["DataCentre"], lost.Instance, lost.At.UTC().Format(timeFormat), lost.Fields["Failures"], lost.Fields["SilentFor"])
+}
+
+// relative says when something happened, from the flow's last packet on.
+func relative(after time.Duration) string {
+	if after < 0 {
+		return fmt.Sprintf("%v before the flow's last packet seen here", -after)
+	}
+	return fmt.Sprintf("%v after the flow's last packet seen here", after)
+}
+
 // serverCause returns what happened to the backend server from 1 s before the flow's
 // last line on, or "" if the lines show nothing.
 func serverCause(last Line, lines []Line) string {
@@ -114,12 +153,12 @@
 		after := l.At.Sub(last.At).Round(time.Millisecond)
 		switch {
 		case l.Message == "Server: its entry is gone.":
-			return fmt.Sprintf("backend server %s ended: its entry went %v from the flow's last packet seen here", server, after)
+			return fmt.Sprintf("backend server %s ended: its entry went %s", server, relative(after))
 		case l.Message == "Server: described." && l.Fields["Restarted"] == "true":
-			return fmt.Sprintf("backend server %s started again %v after the flow's last packet seen here", server, after)
+			return fmt.Sprintf("backend server %s started again %s", server, relative(after))
 		case strings.HasPrefix(l.Message, "Server: silent"), l.Message == "Server: suspected.":
-			return fmt.Sprintf("backend server %s stopped answering: noticed %v after the flow's last packet seen here, with %s flows unanswered here and %s at other instances",
-				server, after, l.Fields["Failures"], l.Fields["Others"])
+			return fmt.Sprintf("backend server %s stopped answering: noticed %s, with %s flows unanswered here and %s at other instances",
+				server, relative(after), l.Fields["Failures"], l.Fields["Others"])
 		}
 	}
 	return ""
--- a/pkg/process/explanation/explanation.go
+++ b/pkg/process/explanation/explanation.go
@@ -28,6 +28,9 @@
 	"github.com/go-faster/errors"
 )
 
+// timeFormat shows the time of a line.
+const timeFormat = "15:04:05.000"
+
 const (
 	// contextBefore and contextAfter bound the time around the flow's lines from which
 	// other lines are taken: a backend server's entry expires after some 4 s.
@@ -49,7 +52,7 @@
 // String formats the line for a reader, with its fields sorted by name.
 func (l Line) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s %s", l.At.UTC().Format("15:04:05.000"), l.Instance, l.Message)
+	fmt.Fprintf(&b, "%s %s %s", l.At.UTC().Format(timeFormat), l.Instance, l.Message)
 	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
 		fmt.Fprintf(&b, " %s=%s", name, l.Fields[name])
 	}
@@ -220,7 +223,7 @@
 // isInstanceLine reports whether a line is about the state of its instance rather than
 // about flows or backend servers.
 func isInstanceLine(l Line) bool {
-	for _, part := range []string{"Instance:", "Follower:", "Configuration:", "Settings:", "Log:", "Packets:", "Exchange:"} {
+	for _, part := range []string{"Instance:", "Follower:", "Configuration:", "DataCentre:", "Settings:", "Log:", "Packets:", "Exchange:"} {
 		if strings.HasPrefix(l.Message, part) {
 			return true
 		}
--- a/pkg/process/explanation/explanation_test.go
+++ b/pkg/process/explanation/explanation_test.go
@@ -100,6 +100,35 @@
 	}
 }
 
+// A request into a data centre that is cut off must be blamed on the cut, and not on the
+// server that was tried last.
+func TestCutOffDataCentreIsNamed(t *testing.T) {
+	const lost = `{"time":"2026-06-10T08:00:01Z","msg":"DataCentre: its servers are out of reach.","Instance":"entry-1","DataCentre":"far","Failures":7,"SilentFor":900000000}
+`
+	for _, test := range []struct{ name, lines, cause string }{
+		{"out of reach", lost, "the servers of data centre far were out of reach of instance entry-1 from 08:00:01.000 on: 7 flows in a row unanswered there, and no sign of it for 900ms"},
+		{
+			"within reach long before", lost + `{"time":"2026-06-10T08:00:01.5Z","msg":"DataCentre: its servers are within reach again.","Instance":"entry-1","DataCentre":"far"}
+`, "forwarded to backend server i-1",
+		},
+		{"of another instance", strings.Replace(lost, "entry-1", "entry-2", 1), "forwarded to backend server i-1"},
+	} {
+		log := explanation.NewLog()
+		lines := test.lines + `{"time":"2026-06-10T08:00:04Z","msg":"Request: forwarded.","Instance":"entry-1","RequestId":"1","Caller":"a:1","Route":"r:1","Server":"i-1","DataCentre":"far"}
+`
+		if err := log.Read("entry-1.log", strings.NewReader(lines)); err != nil {
+			t.Fatal(err)
+		}
+		result, err := log.Explain("1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.HasPrefix(result.Cause, test.cause) {
+			t.Errorf("%s: cause %q, want %q", test.name, result.Cause, test.cause)
+		}
+	}
+}
+
 // A request that its caller sent again without an answer must be blamed on its own
 // backend server, and not on another one whose entry went meanwhile.
 func TestRepeatedRequestWithoutAnswerNamesItsServer(t *testing.T) {
