--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -70,6 +70,7 @@
 	e.decider.ask, e.decider.answer = e.exchange.ask, e.exchange.answer
 	link := &linkBudget{bytesPerSecond: o.LinkBytesPerSecond}
 	e.replicas = newReplicaServer(o, e.state, link, h.Now)
+	metrics.count("tanagerweir_entry_refused_fetches_total", "Fetches of other instances refused since the link's share was used up.", e.replicas.refused.Load)
 	e.follower = newFollower(o, e.state, link, e.exchange.push, h)
 	e.early = newEarlyReader(o, e.state, e.follower, e.exchange.push, h)
 	var err error
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -148,6 +148,7 @@
 		return err
 	}
 	i.engine = engine
+	engine.decider.observer.metrics.count("tanagerweir_entry_paced_drops_total", "Packets dropped since they waited too long for the link.", sockets.pacer.drops)
 	if err := i.serve(); err != nil {
 		return err
 	}
--- a/pkg/process/entry/fetcher.go
+++ b/pkg/process/entry/fetcher.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -123,6 +124,8 @@
 	log   *slog.Logger
 	now   func() time.Duration
 	link  *linkBudget
+	// refused counts the fetches that were refused.
+	refused atomic.Uint64
 
 	mu sync.Mutex
 	// cached is the response to a fetch of cachedBatch.
@@ -176,6 +179,7 @@
 // admit returns the response to a fetch, or ErrBusy if the link's share is used up.
 func (s *replicaServer) admit(after uint64) ([]byte, error) {
 	if !s.link.free(s.now()) {
+		s.refused.Add(1)
 		return nil, ErrBusy
 	}
 	body, err := s.encode(after)
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -67,6 +67,11 @@
 	return m
 }
 
+// count adds a counter whose value is read when it is scraped.
+func (m *metrics) count(name, help string, value func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
+}
+
 // countDecision counts a packet by the decision taken for it.
 func (m *metrics) countDecision(d forwarding.Decision) {
 	m.packets[d.Reason].Inc()
--- a/pkg/process/entry/pacer.go
+++ b/pkg/process/entry/pacer.go
@@ -22,6 +22,8 @@
 	queue *pacing.Queue[outgoing]
 	// free holds buffers for reuse.
 	free [][]byte
+	// overflow counts packets that were dropped since too many waited.
+	overflow uint64
 }
 
 // outgoing is a packet that waits for the link.
@@ -50,6 +52,7 @@
 	o := outgoing{datagram: append(p.buffer(), datagram...), to: to}
 	if !p.queue.Add(p.now(), flow, len(datagram), o) {
 		p.free = append(p.free, o.datagram)
+		p.overflow++
 		return
 	}
 	select {
@@ -110,4 +113,12 @@
 	}
 }
 
+// drops returns how many packets were dropped since they waited too long, or too many
+// waited.
+func (p *pacer) drops() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Dropped() + p.overflow
+}
+
 func (p *pacer) close() { close(p.closing) }
--- a/pkg/process/entry/transfer_test.go
+++ b/pkg/process/entry/transfer_test.go
@@ -211,3 +211,27 @@
 		t.Error("changes were read early")
 	}
 }
+
+// A burst beyond the link's rate is sent later, and not dropped.
+func TestPacketsWaitForTheLink(t *testing.T) {
+	stand, store := stores(t)
+	v := newBackend(t, "i-1")
+	stand.Put("servers/"+v.id, v.describe("ready"))
+	stand.Put("op/config", fmt.Appendf(nil, configuration, 1))
+	o := options(t, "entry-1", store)
+	o.LinkBytesPerSecond = 50e3
+	start(t, o)
+	waitUntil(t, "the instance is ready", func() bool { return isReady(o.Ready) })
+	// Each of them takes 67 bytes of the link, 1.5 ms.
+	const packets = 60
+	began := time.Now()
+	for n := range packets {
+		send(t, o.Packets, synPacket(t, uint16(44000+n)))
+	}
+	for range packets {
+		receive(t, v.conn)
+	}
+	if took := time.Since(began); took < 50*time.Millisecond {
+		t.Errorf("%d packets were sent in %v", packets, took)
+	}
+}
