Name strength and place of emulated faults, and add as many routes as said

The list of faults in results left out how strong and where. The test of drawn faults copied How where it was lost; Parse and DrawFaults now both give nil for none. ConfigurationGrows added one route more than Count. Store.Delay was read and not used.

--- a/pkg/emulation/day/day.go
+++ b/pkg/emulation/day/day.go
@@ -12,6 +12,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -127,9 +128,6 @@
 	// Heartbeat is the interval at which backend servers write to the store; the
 	// entry of one that missed three heartbeats lapses.
 	Heartbeat time.Duration
-	// Delay is how long an entry takes to change after its server changed. The
-	// emulator doesn't use it.
-	Delay time.Duration
 }
 
 // Goal holds the weights of a day's worth: of the benefit of the whole day, of its
@@ -237,15 +235,30 @@
 // HasVariant reports whether How contains the word for a variant.
 func (f Fault) HasVariant(word string) bool { return slices.Contains(f.How, word) }
 
-// String returns the fault's name, kind, time and variant in one line. Results list
-// faults in this form.
+// String returns the fault's name, kind, time, variant, strength and place in one line,
+// without what is the default. Results list faults in this form.
 func (f Fault) String() string {
 	words := append([]string{f.Name, f.Kind, "at", f.At.String()}, f.How...)
-	if f.For > 0 {
-		words = append(words, "for", f.For.String())
+	for _, d := range []struct {
+		name  string
+		value time.Duration
+	}{{"for", f.For}, {"each", f.Gap}} {
+		if d.value > 0 {
+			words = append(words, d.name, d.value.String())
+		}
 	}
-	if f.DataCentre != "" {
-		words = append(words, "in", f.DataCentre)
+	for _, n := range []struct {
+		name  string
+		value float64
+	}{{"share", f.Share}, {"count", float64(f.Count)}, {"factor", f.Factor}} {
+		if n.value > 0 {
+			words = append(words, n.name, strconv.FormatFloat(n.value, 'g', 4, 64))
+		}
+	}
+	for _, place := range []string{f.DataCentre, f.Service} {
+		if place != "" {
+			words = append(words, "in", place)
+		}
 	}
 	return strings.Join(words, " ")
 }
--- a/pkg/emulation/day/day_test.go
+++ b/pkg/emulation/day/day_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -108,13 +109,19 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for n, f := range parsed.Faults {
-			if len(f.How) == 0 { // Parse gives an empty slice where DrawFaults gives nil
-				f.How = faults[n].How
-			}
-			if diff := cmp.Diff(faults[n], f); diff != "" {
-				t.Error(diff)
-			}
+		if diff := cmp.Diff(faults, parsed.Faults); diff != "" {
+			t.Error(diff)
 		}
 	}
 }
+
+// A weak day has to be understood from its list of faults.
+func TestFaultsNameTheirStrengthAndPlace(t *testing.T) {
+	f := day.Fault{
+		Name: "drawn-1", Kind: day.ServersGrey, At: 1500 * time.Millisecond, For: 4 * time.Second, Share: 0.2, Factor: 0.4,
+		How: []string{"Mute"}, DataCentre: "near", Service: "board",
+	}
+	if diff := cmp.Diff("drawn-1 ServersGrey at 1.5s Mute for 4s share 0.2 factor 0.4 in near in board", f.String()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/pkg/emulation/day/draw.go
+++ b/pkg/emulation/day/draw.go
@@ -54,13 +54,13 @@
 			Share: float64(10+r.IntN(35)) / 100,
 		}
 		if variants := variantsOf[f.Kind]; len(variants) > 0 {
-			f.How = strings.Fields(variants[r.IntN(len(variants))])
+			f.How = words(variants[r.IntN(len(variants))])
 		}
 		faults = append(faults, f)
 	}
 	if closing {
 		faults = append(faults, Fault{
-			Name: "closing", Kind: InstancesKilled, At: last, Share: 1, How: strings.Fields([]string{"", "Power"}[r.IntN(2)]),
+			Name: "closing", Kind: InstancesKilled, At: last, Share: 1, How: words([]string{"", "Power"}[r.IntN(2)]),
 			For: 500*time.Millisecond + time.Duration(r.Int64N(int64(time.Second))).Round(time.Millisecond),
 		})
 	}
--- a/pkg/emulation/day/load.go
+++ b/pkg/emulation/day/load.go
@@ -178,7 +178,6 @@
 			AnswerTime: r.duration("Store", "AnswerTime", "4ms"),
 			PageKeys:   r.integer("Store", "PageKeys", "500"),
 			Heartbeat:  r.duration("Store", "Heartbeat", "770ms"),
-			Delay:      r.duration("Store", "Delay", "5ms"),
 		},
 		Goal: Goal{
 			Day: r.number("Goal", "Day", "0.6"), Windows: r.number("Goal", "Windows", "0.12"),
@@ -291,7 +290,7 @@
 		Name: name, Kind: r.choice(s, "Kind", "", Kinds()...),
 		At: r.duration(s, "At", ""), For: r.duration(s, "For", "5s"), Gap: r.duration(s, "Gap", "1s"),
 		Share: r.number(s, "Share", "0"), Count: r.integer(s, "Count", "0"), Factor: r.number(s, "Factor", "0"),
-		How: strings.Fields(r.value(s, "How", "")), DataCentre: r.value(s, "DataCentre", ""), Service: r.value(s, "Service", ""),
+		How: words(r.value(s, "How", "")), DataCentre: r.value(s, "DataCentre", ""), Service: r.value(s, "Service", ""),
 	}
 }
 
@@ -325,3 +324,11 @@
 		}
 	}
 }
+
+// words splits a value into words, and returns nil if there is none.
+func words(value string) []string {
+	if value == "" {
+		return nil
+	}
+	return strings.Fields(value)
+}
--- a/pkg/emulation/operator.go
+++ b/pkg/emulation/operator.go
@@ -134,7 +134,7 @@
 }
 
 // changeConfiguration writes the next configuration. With replaceRoute it adds an
-// idle route and removes one; with extraRoutes it adds one and that many more; with
+// idle route and removes one; with extraRoutes it adds that many; with
 // neither it raises a timeout.
 func (o *operator) changeConfiguration(replaceRoute bool, extraRoutes int) {
 	c := o.current
@@ -153,7 +153,7 @@
 	}
 	added := o.idleRoute()
 	c.Routes = append(c.Routes, added)
-	for range extraRoutes {
+	for range extraRoutes - 1 {
 		c.Routes = append(c.Routes, o.idleRoute())
 	}
 	o.writeConfiguration(c, func() {
