Never stay out of rotation, and forgive servers once the way to them is back

An instance whose own servers are silent stays ready: it can't know that callers would fare better elsewhere, and nothing would bring it back if routers had no other place. Without any sign for 10 s, callers are let in again.

After a cut all servers beyond it were suspected, and counted as started anew one by one as they answered, so that callers were refused for 2 s. Their failures are forgotten once the data centre is within reach and the directory is fresh, which says which servers did start anew.

Inquiries are answered to the sender's address, not to the one that the message names.

--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -145,10 +145,12 @@
 	openingsChecked time.Duration
 	events          []Event
 	// reaches are the ways to the data centres, by name, and askedAt when callers
-	// last asked for each service. unserved says that callers aren't served here.
+	// last asked for each service. unserved says that callers aren't served here,
+	// since unservedAt.
 	reaches     map[string]*reach
 	askedAt     map[string]time.Duration
 	unserved    bool
+	unservedAt  time.Duration
 	reachEvents []ReachEvent
 }
 
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -105,6 +105,9 @@
 	o.lastAlive, o.failures, o.stuck, o.backoff = now, 0, 0, 0
 }
 
+// forgive forgets the failures so far.
+func (o *observations) forgive() { o.failures, o.stuck, o.backoff, o.nextTrial = 0, 0, 0, 0 }
+
 // silent reports whether the server has ended or can't be reached from the data
 // centre, so that flows at it are lost. lastAnswer is when this instance last
 // saw an answer of any server, peers the number of other instances of the data
--- a/pkg/connection/forwarding/reach.go
+++ b/pkg/connection/forwarding/reach.go
@@ -21,6 +21,10 @@
 	reachTrialPeriod = 500 * time.Millisecond
 	// askedFor is how long a service counts as asked for after a flow for it.
 	askedFor = 2 * time.Second
+	// unservedFor is how long callers may be led elsewhere without any sign. Then some
+	// are let in again and try the servers, as no instance may be left that could be
+	// heard from.
+	unservedFor = 10 * time.Second
 )
 
 // reach is what this instance knows of the way to the backend servers of one data
@@ -40,6 +44,9 @@
 	lostAt time.Duration
 	// nextTrial is when a flow may try the data centre again.
 	nextTrial time.Duration
+	// regained says that it came within reach again, and that failures from before
+	// still count against its servers.
+	regained bool
 	// askedAt is when other instances were last asked about it while it was lost, asked
 	// how many of them, and answered how many of these answered.
 	askedAt         time.Duration
@@ -56,6 +63,7 @@
 
 // recordSign records a sign of life of a backend server there.
 func (r *reach) recordSign(now time.Duration) {
+	r.regained = r.regained || r.lost
 	r.lastSign, r.failures, r.servers, r.lost = now, 0, [2]*server{}, false
 }
 
@@ -76,7 +84,7 @@
 	case r.lost:
 		r.lost = r.lastMessage <= r.lostAt
 		if !r.lost {
-			r.failures, r.servers = 0, [2]*server{}
+			r.failures, r.servers, r.regained = 0, [2]*server{}, true
 		}
 	case r.failures > 0 && r.failures+r.others.failures >= lostFailures && (r.servers[1] != nil || r.others.servers > 1) &&
 		now-max(r.lastSign, r.others.lastSign, r.lastMessage) >= lostAfter:
@@ -136,9 +144,27 @@
 			})
 		}
 	}
+	c.forgiveFailures(now)
 	c.updateServed(now)
 }
 
+// forgiveFailures forgets the failures of servers whose data centre is within reach again,
+// as the way there was at fault. It waits until the directory is fresh, which then says
+// which servers were started anew meanwhile.
+func (c *Core) forgiveFailures(now time.Duration) {
+	for dataCentre, r := range c.reaches {
+		if !r.regained || !c.directoryFresh(now) {
+			continue
+		}
+		r.regained = false
+		for _, v := range c.servers.sorted {
+			if v.DataCentre == dataCentre {
+				v.observed.forgive()
+			}
+		}
+	}
+}
+
 // combineReach sums up the reports of other instances by data centre.
 func (c *Core) combineReach(now time.Duration) {
 	for _, r := range c.reaches {
@@ -159,8 +185,8 @@
 }
 
 // updateServed decides whether callers are served here. They aren't if, of all services
-// that they ask for, the only usable backend servers are out of reach. While nobody
-// asks, as routers send callers elsewhere, it waits for a sign of these servers.
+// that they ask for, the only usable backend servers are in other data centres and out of
+// reach. While nobody asks, as routers send callers elsewhere, it waits for a sign.
 func (c *Core) updateServed(now time.Duration) {
 	asked := false
 	for service, at := range c.askedAt {
@@ -174,22 +200,28 @@
 		}
 	}
 	switch {
-	case asked:
-		c.unserved = true
-	case c.unserved:
-		c.unserved = !slices.ContainsFunc(c.servers.sorted, func(v *server) bool { return c.usable(now, v) && !c.reachOf(v.DataCentre).lost })
+	case asked && !c.unserved:
+		c.unserved, c.unservedAt = true, now
+	case c.unserved && !asked:
+		c.unserved = now-c.unservedAt < unservedFor && !c.reachesUsable(now)
 	}
 }
 
-// outOfReach reports whether the service has usable backend servers, all of which are
-// out of reach.
+// reachesUsable reports whether any usable backend server is within reach.
+func (c *Core) reachesUsable(now time.Duration) bool {
+	return slices.ContainsFunc(c.servers.sorted, func(v *server) bool { return c.usable(now, v) && !c.reachOf(v.DataCentre).lost })
+}
+
+// outOfReach reports whether the service has usable backend servers, all of them in
+// other data centres and out of reach. Without servers in reach of its own data centre,
+// an instance can't know that callers would fare better elsewhere.
 func (c *Core) outOfReach(now time.Duration, service string) bool {
 	lost := false
 	for _, v := range c.servers.byService[service] {
 		if !c.usable(now, v) {
 			continue
 		}
-		if !c.reachOf(v.DataCentre).lost {
+		if v.DataCentre == c.options.DataCentre || !c.reachOf(v.DataCentre).lost {
 			return false
 		}
 		lost = true
--- a/pkg/emulation/instance.go
+++ b/pkg/emulation/instance.go
@@ -382,7 +382,7 @@
 					return
 				}
 				arriving = &arrivingBody{clock: clock, ctx: ctx, deadline: deadline, data: body}
-				network.sendTransfer(transferOf{
+				network.sendTransfer(delivery{
 					from: &other.node, to: &i.node, size: len(body), deadline: deadline,
 					deliver: func(arrived int) {
 						i.whenRunning(func() {
--- a/pkg/emulation/network.go
+++ b/pkg/emulation/network.go
@@ -143,8 +143,8 @@
 // have small windows, so that transfers share a link in turn.
 const streamWindow = 16 << 10
 
-// transferOf is the delivery of a long message over one connection, window by window.
-type transferOf struct {
+// delivery is that of a long message over one connection, window by window.
+type delivery struct {
 	network  *network
 	from, to *node
 	// size is the length of the message in bytes, and sent how many of them have left.
@@ -156,14 +156,14 @@
 }
 
 // sendTransfer delivers a message of that many bytes at the rate of the two links.
-func (n *network) sendTransfer(t transferOf) {
+func (n *network) sendTransfer(t delivery) {
 	t.network = n
 	t.next(firstStreamRetry)
 }
 
 // next sends the next window. While either direction is cut, it tries again until
 // the deadline, first after the given time.
-func (t transferOf) next(retry time.Duration) {
+func (t delivery) next(retry time.Duration) {
 	n := t.network
 	now := n.clock.Now()
 	reached := n.reaches(t.from, t.to) && n.reaches(t.to, t.from)
--- a/pkg/emulation/store.go
+++ b/pkg/emulation/store.go
@@ -228,7 +228,7 @@
 			return
 		}
 		c.respond = func(a Answer) {
-			t.store.network.sendTransfer(transferOf{
+			t.store.network.sendTransfer(delivery{
 				from: &t.store.node, to: &i.node, size: len(a.Body), deadline: deadline,
 				deliver: func(arrived int) {
 					i.whenRunning(func() {
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -68,7 +68,7 @@
 		e.fetcher.request(source{endpoint: m.Hello.From.Endpoint, otherDataCentre: otherDataCentre, position: position{revision: m.Hello.Revision, early: m.Hello.EarlyRevision}})
 	}
 	if len(m.Asked) > 0 {
-		e.decider.queueInquiry(inquiry{marks: m.Asked, from: m.Hello.From.Endpoint})
+		e.decider.queueInquiry(inquiry{marks: m.Asked, from: from})
 	}
 	switch {
 	case m.Answer:
