Give a flow up with its data centre only once its own data went unanswered

Flows of callers that had been idle were reset at their first packet, since all other servers of a data centre without power were silent; theirs lived.

Ruled out: the inquiry, which was answered truly: nobody had a sign of that server, as no flow had asked it anything.

Change: the flow's own data has to go unanswered for 0.5 s, in which callers send it three times.

--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -125,6 +125,17 @@
 	return &flow{}
 }
 
+// unansweredFor is how long a flow's data has to go unanswered until the flow is given up
+// with its data centre: callers have sent it three times by then.
+const unansweredFor = 500 * time.Millisecond
+
+// unanswered reports whether the flow's data was sent again and went unanswered for long.
+// One server may live where all others of its data centre are silent.
+func (t *flows) unanswered(now time.Duration, key segment.Flow) bool {
+	f := t.byKey[key]
+	return f != nil && f.waiting && f.failureCounted && now-f.lastSent >= unansweredFor
+}
+
 // remove removes a flow's record.
 func (t *flows) remove(f *flow) {
 	f.countLoad(-1)
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -239,7 +239,7 @@
 		return ServerGone, true
 	case v.observed.silent(now, c.lastAnswer, c.peerCount):
 		return ServerSilent, true
-	case c.reachOf(v.DataCentre).confirmed(now, c.peerCount):
+	case c.reachOf(v.DataCentre).confirmed(now, c.peerCount) && c.flows.unanswered(now, s.Flow):
 		return OutOfReach, true
 	}
 	return ByMark, false
--- a/pkg/connection/forwarding/reach_test.go
+++ b/pkg/connection/forwarding/reach_test.go
@@ -225,9 +225,13 @@
 		t.Run(test.name, func(t *testing.T) {
 			c, now := takenOut(t)
 			c.ReceiveLoads(now, "other", nil, peers)
-			p, d := opened(t, c, now, feedRoute)
-			c.Decide(now+time.Millisecond, p.request())
-			now, _ = passTime(t, c, now+2*time.Millisecond, now+1500*time.Millisecond, nobody)
+			idle, _ := opened(t, c, now, feedRoute)
+			c.Decide(now+time.Millisecond, idle.request())
+			c.Decide(now+2*time.Millisecond, idle.acknowledge())
+			p, d := opened(t, c, now+2*time.Millisecond, feedRoute)
+			unanswered := p.request()
+			c.Decide(now+3*time.Millisecond, unanswered)
+			now, _ = passTime(t, c, now+4*time.Millisecond, now+1500*time.Millisecond, nobody)
 			if events := c.ReachEvents(); len(events) != 1 || !events[0].Lost {
 				t.Fatalf("events %+v", events)
 			}
@@ -247,9 +251,18 @@
 				c.ReceiveAnswer(now, loads, true)
 			}
 			now += 100 * time.Millisecond
-			if got := c.Decide(now, p.request()); got.Verdict != test.want || got.Verdict == forwarding.Reset && got.Reason != forwarding.OutOfReach {
+			if got := c.Decide(now, unanswered); got.Verdict != test.want || got.Verdict == forwarding.Reset && got.Reason != forwarding.OutOfReach {
 				t.Errorf("flow at server %q: %+v", d.Server, got)
 			}
+			// Its server may be the only one there that lives.
+			request := idle.request()
+			if got := c.Decide(now, request); got.Verdict != forwarding.Forward {
+				t.Errorf("first packet of a flow that was idle: %+v", got)
+			}
+			c.Decide(now+firstCopy, request)
+			if got := c.Decide(now+secondCopy, request); got.Verdict != test.want {
+				t.Errorf("flow that went unanswered for %v: %+v", secondCopy, got)
+			}
 		})
 	}
 }
