--- a/pkg/connection/forwarding/inquiry.go
+++ b/pkg/connection/forwarding/inquiry.go
@@ -29,7 +29,7 @@
 // best whether it lives.
 type Inquiry struct {
 	Mark mark.Mark
-	// DataCentre is the server's.
+	// DataCentre is that of the backend server.
 	DataCentre string
 }
 
--- a/pkg/connection/forwarding/reach.go
+++ b/pkg/connection/forwarding/reach.go
@@ -31,7 +31,7 @@
 // centre.
 type reach struct {
 	// lastSign is when a backend server there last answered, and lastMessage when an
-	// instance of another data centre last sent a message.
+	// instance there last sent a message, 0 for the own data centre.
 	lastSign, lastMessage time.Duration
 	// failures is how many flows went unanswered there since the last sign of life,
 	// and servers the first two backend servers at which they did.
--- a/pkg/connection/pacing/pacing.go
+++ b/pkg/connection/pacing/pacing.go
@@ -30,9 +30,8 @@
 	// linkShare is the share of the bandwidth that packets get. The rest is left for
 	// calls, messages and the links' own headers.
 	linkShare = 0.9
-	// burst is how much may be sent at once, in time of the link. Links were seen to
-	// drop packets of bursts of 80 ms, and not of 40 ms.
-	burst = 20 * time.Millisecond
+	// burst is how much may be sent at once, in time of the link.
+	burst = 20 * time.Millisecond // bursts of 80 ms lost packets
 	// maxWait is how long a packet may wait: callers send again after 200 ms.
 	maxWait = 200 * time.Millisecond
 	// packetOverhead is the number of bytes that UDP and IP add to each packet.
--- a/pkg/emulation/network.go
+++ b/pkg/emulation/network.go
@@ -62,7 +62,7 @@
 }
 
 // linkBuffer is how much a link buffers, in time of its bandwidth; what comes beyond that
-// is dropped. On the users' bench, bursts of 80 ms lost packets, and those of 40 ms didn't.
+// is dropped.
 const linkBuffer = 50 * time.Millisecond
 
 // reaches reports whether no cut blocks packets in this direction.
@@ -143,7 +143,7 @@
 // have small windows, so that transfers share a link in turn.
 const streamWindow = 16 << 10
 
-// delivery is that of a long message over one connection, window by window.
+// delivery carries a long message over one connection, window by window.
 type delivery struct {
 	network  *network
 	from, to *node
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -304,7 +304,7 @@
 
 const (
 	// askedPeers is how many instances of the own data centre are asked about a
-	// backend server: all of a data centre of the largest deployment by halves.
+	// backend server: half of the 98 that the largest deployment has in one.
 	askedPeers = 48
 	// askedElsewhere is how many instances of another data centre are asked: one may
 	// have ended, and one message may be lost.
