--- a/pkg/emulation/days_test.go
+++ b/pkg/emulation/days_test.go
@@ -20,9 +20,9 @@
 // brokenSeeds holds the seeds of drawn days on which a promise was once broken, by
 // deployment.
 var brokenSeeds = map[string][]uint64{
-	"dakar":        {10, 21, 35, 56, 65, 73, 76, 81, 140, 144, 150},
+	"dakar":        {10, 17, 21, 35, 56, 65, 73, 76, 81, 140, 144, 150},
 	"pince-kelet":  {21, 76, 84, 140, 150},
-	"five-centres": {17, 30, 33},
+	"five-centres": {17, 30, 33, 140, 150},
 }
 
 // servedWhole holds the regression days on which neither flows nor servers that serve
