--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -70,10 +70,12 @@
 	NoServer
 	// Unsynchronised: the instance has received no configuration yet.
 	Unsynchronised
+	// NoRoom: the servers have no room for a request of this priority now.
+	NoRoom
 )
 
 var reasonNames = [...]string{
-	"ByMark", "Placed", "PlacedAgain", "NoMark", "UnknownMark", "ServerGone", "ServerSilent", "OutOfReach", "NoRoute", "NoServer", "Unsynchronised",
+	"ByMark", "Placed", "PlacedAgain", "NoMark", "UnknownMark", "ServerGone", "ServerSilent", "OutOfReach", "NoRoute", "NoServer", "Unsynchronised", "NoRoom",
 }
 
 // Reasons returns all reasons, in the order of their values.
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -89,10 +89,13 @@
 func (c *Core) candidate(now time.Duration, v *server) placement.Candidate {
 	return placement.Candidate{
 		Server:  v.ID,
-		Slots:   v.Slots,
+		Slots:   v.capacity(),
 		Running: float64(v.observed.running) + c.reportScale*v.observed.others.running,
 		Open:    float64(v.observed.openFlows) + c.reportScale*float64(v.observed.others.openFlows),
 		Local:   v.DataCentre == c.options.DataCentre,
 		Penalty: v.observed.penalty(now),
 	}
 }
+
+// capacity returns how many requests the backend server carries at once.
+func (v *server) capacity() int { return v.Slots }
