Prefer backend servers near an instance's place on a ring, where many instances share them

Cause: where a data centre has more than a few instances, their reports of running requests are about a second old when they are used, while a request lasts 50 ms. Ranking by them sent flows to servers that had been idle a second ago.

Ruled out: no reports at all (0.016 of the requests shed at 0.95 of the capacity in a trial with 22 instances and 40 servers, 0.098 with reports), servers ranked by a hash for each instance (0.022 to 0.15, as some servers are preferred by nobody), and a ring with reports of single servers (0.077).

Change: with 8 instances or more in its data centre, an instance adds up to 1.25 requests a slot by a server's distance on the ring, and uses the mean of the others' reports. With fewer all is as before.

Test: 22 instances, 40 servers, 0.95 of the capacity: 0.0182 of the requests shed before, none after. Placement at 150 servers 3.6 to 4.0 us, a directory of 3,800 servers adopted in 0.61 to 0.78 ms.

--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -138,6 +138,10 @@
 	reports     map[string]report
 	peerCount   int
 	reportScale float64
+	// affinity says that this instance prefers some servers, see assignAffinity.
+	affinity bool
+	// sums is reused by averageOthers.
+	sums map[string]loadSum
 	// confirmed is when the directory was last known to be the newest, and
 	// outageEnded when this was so again after an outage of the platform.
 	confirmed, outageEnded time.Duration
@@ -163,7 +167,7 @@
 	}
 	return &Core{
 		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
-		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration),
+		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration), sums: make(map[string]loadSum),
 	}
 }
 
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -119,6 +119,7 @@
 			}
 		}
 	}
+	c.averageOthers()
 	c.reportScale = 1
 	if reporting > 0 && c.peerCount > reporting {
 		c.reportScale = float64(c.peerCount) / float64(reporting)
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -87,13 +87,18 @@
 }
 
 func (c *Core) candidate(now time.Duration, v *server) placement.Candidate {
+	others := v.observed.others.running
+	if c.affinity {
+		others = v.meanOthers
+	}
 	return placement.Candidate{
-		Server:  v.ID,
-		Slots:   v.capacity(),
-		Running: float64(v.observed.running) + c.reportScale*v.observed.others.running,
-		Open:    float64(v.observed.openFlows) + c.reportScale*float64(v.observed.others.openFlows),
-		Local:   v.DataCentre == c.options.DataCentre,
-		Penalty: v.observed.penalty(now),
+		Server:   v.ID,
+		Slots:    v.capacity(),
+		Running:  float64(v.observed.running) + c.reportScale*others,
+		Open:     float64(v.observed.openFlows) + c.reportScale*float64(v.observed.others.openFlows),
+		Local:    v.DataCentre == c.options.DataCentre,
+		Penalty:  v.observed.penalty(now),
+		Distance: v.distance,
 	}
 }
 
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -29,6 +29,12 @@
 	// state is the state as of the last event, and silentAt when it last became Silent.
 	state    ServerState
 	silentAt time.Duration
+	// distance is how far the server is from this instance on the ring of its service and
+	// data centre, from 0 to 1, see assignAffinity.
+	distance float64
+	// meanOthers is the mean of others.running over the servers of the service and data
+	// centre.
+	meanOthers float64
 }
 
 // registry holds the backend servers that marks can name.
@@ -69,6 +75,7 @@
 	if changed {
 		c.servers.index()
 	}
+	c.assignAffinity()
 }
 
 // markMissing records that the directory lacks a backend server from now on.
--- a/pkg/connection/placement/placement.go
+++ b/pkg/connection/placement/placement.go
@@ -29,6 +29,11 @@
 	// drawLoad is the largest random load that is added, in requests a slot. It
 	// spreads flows over servers with about equal load.
 	drawLoad = 0.02
+	// distanceLoad is the load, in requests a slot, that is added for the server that is
+	// farthest from the instance. At twice this figure an instance that gets more than its
+	// share of the requests overloads the servers next to it, and at half of it servers are
+	// shared by too many instances to know their load.
+	distanceLoad = 1.25
 )
 
 // Candidate is what is known about a backend server that a flow could go to.
@@ -46,6 +51,9 @@
 	// Penalty is the load, in requests a slot, that is added because of recent
 	// failures of the server.
 	Penalty float64
+	// Distance says how far the server is from those that the instance prefers, from 0
+	// to 1.
+	Distance float64
 }
 
 // Policy returns a candidate's score; the lowest score is best.
@@ -54,7 +62,7 @@
 // Score returns the load that a new flow would find, in requests a slot. It is the
 // policy that instances use.
 func Score(c Candidate) float64 {
-	score := (c.Running+openLoad*c.Open)/float64(max(c.Slots, 1)) + c.Penalty
+	score := (c.Running+openLoad*c.Open)/float64(max(c.Slots, 1)) + c.Penalty + distanceLoad*c.Distance
 	if !c.Local {
 		score += remoteLoad
 	}
--- a/pkg/version/directory/directory.go
+++ b/pkg/version/directory/directory.go
@@ -263,6 +263,13 @@
 	return instances
 }
 
+// EachInstance calls visit for each registered instance, in no particular order.
+func (d Directory) EachInstance(visit func(Instance)) {
+	for _, i := range d.instances {
+		visit(i)
+	}
+}
+
 // Instance returns a registered instance by its name.
 func (d Directory) Instance(name string) (Instance, bool) {
 	i, ok := d.instances[name]
