Emulate a store that returns restored from an older copy

Change: the fault kind StoreRestored restores the emulated store from a copy that is For old, also after an outage and twice in a row. Bounds on writes that may not have reached all instances before are counted from then on.

--- a/pkg/emulation/checker.go
+++ b/pkg/emulation/checker.go
@@ -235,7 +235,7 @@
 	case !forwarded && !c.world.canServe(check.route):
 		// The reset may say that no server can serve the flow, not that the route is
 		// unknown.
-	case check.sentAt > check.acknowledgedAt+b.Configuration && c.timeBoundsApply(i):
+	case check.sentAt > max(check.acknowledgedAt, c.world.operator.rewrittenAt)+b.Configuration && c.timeBoundsApply(i):
 		c.addBreach(ConfigurationInForce, "instance %s goes by a version before %d, %v after it was acknowledged", i.name, check.version, check.sentAt-check.acknowledgedAt)
 	case i.seenVersion >= check.version && check.sentAt > i.seenVersionAt+slackOf(i):
 		c.addBreach(ConfigurationInForce, "instance %s went back before version %d", i.name, check.version)
--- a/pkg/emulation/day/day.go
+++ b/pkg/emulation/day/day.go
@@ -128,6 +128,9 @@
 	// Heartbeat is the interval at which backend servers write to the store; the
 	// entry of one that missed three heartbeats lapses.
 	Heartbeat time.Duration
+	// Eras says that the store sends its era with each answer. Drawn days then restore
+	// it from copies too.
+	Eras bool
 }
 
 // Goal holds the weights of a day's worth: of the benefit of the whole day, of its
--- a/pkg/emulation/day/draw.go
+++ b/pkg/emulation/day/draw.go
@@ -31,6 +31,7 @@
 	DataCentreBackCold: {"", "Dark"}, InstancesKilled: {"", "Power", "Follower", "Follower Power"},
 	InstancesRestarted: {""}, InstancesCut: {"", "OneWay", "All", "Follower OneWay"}, StoreDown: {"", "Busy", "Lapse", "Busy Lapse"},
 	StoreCut: {"", "OneWay", "Follower"}, StoreRefuses: {"", "Many", "Silent", "Revoke"}, StoreLosesAnswers: {"", "Late"},
+	StoreRestored:        {"", "Down", "Twice", "Down Twice"},
 	ConfigurationChanges: {"", "Route"}, DataCentreOut: {"", "Warm"},
 }
 
@@ -39,6 +40,10 @@
 func DrawFaults(d Day, seed uint64) []Fault {
 	r := rand.New(rand.NewPCG(seed, drawStream))
 	kinds := Kinds()
+	if !d.Store.Eras {
+		// Days of other deployments stay as they are drawn without this kind.
+		kinds = slices.DeleteFunc(kinds, func(kind string) bool { return kind == StoreRestored })
+	}
 	faults := make([]Fault, 0, maxFaults)
 	last := d.Length - faultFreeEnd
 	closing := r.IntN(closingOneIn) == 0
--- a/pkg/emulation/day/kinds.go
+++ b/pkg/emulation/day/kinds.go
@@ -31,6 +31,7 @@
 	StoreSlow             = "StoreSlow"
 	StoreLosesAnswers     = "StoreLosesAnswers"
 	StoreForgets          = "StoreForgets"
+	StoreRestored         = "StoreRestored"
 	ConfigurationChanges  = "ConfigurationChanges"
 	ConfigurationStorm    = "ConfigurationStorm"
 	ConfigurationGrows    = "ConfigurationGrows"
@@ -73,6 +74,7 @@
 		{StoreSlow, "The store's answers take Factor times as long."},
 		{StoreLosesAnswers, "Factor of the calls that write are carried out and not answered; Late: carried out 1 to 6 s later."},
 		{StoreForgets, "The store drops its history and cuts watches, again each Gap."},
+		{StoreRestored, "The store returns restored from a copy that is For old, and writers write again what was lost; Down: it answered nobody for Gap before; Twice: it is restored from the same copy again after Gap."},
 		{ConfigurationChanges, "A configuration follows; Route: a route without callers is added and another removed; else a timeout changes."},
 		{ConfigurationStorm, "Configurations follow for For, one each Gap."},
 		{ConfigurationGrows, "Count routes are added."},
--- a/pkg/emulation/day/load.go
+++ b/pkg/emulation/day/load.go
@@ -176,6 +176,7 @@
 		Callers: r.callers(),
 		Store: Store{
 			AnswerTime: r.duration("Store", "AnswerTime", "4ms"),
+			Eras:       r.choice("Store", "Eras", "Off", "Off", "On") == "On",
 			PageKeys:   r.integer("Store", "PageKeys", "500"),
 			Heartbeat:  r.duration("Store", "Heartbeat", "770ms"),
 		},
--- a/pkg/emulation/faults.go
+++ b/pkg/emulation/faults.go
@@ -26,7 +26,7 @@
 	day.DataCentreDark: (*world).dataCentreDark, day.LinksLossy: (*world).linksLossy,
 	day.StoreDown: (*world).storeDown, day.StoreCut: (*world).storeCut, day.StoreRefuses: (*world).storeRefuses,
 	day.StoreSlow: (*world).storeSlow, day.StoreLosesAnswers: (*world).storeLosesAnswers,
-	day.StoreForgets: (*world).storeForgets, day.ConfigurationChanges: (*world).configurationChanges,
+	day.StoreForgets: (*world).storeForgets, day.StoreRestored: (*world).storeRestored, day.ConfigurationChanges: (*world).configurationChanges,
 	day.ConfigurationStorm: (*world).configurationStorm, day.ConfigurationGrows: (*world).configurationGrows,
 	day.DataCentreOut: (*world).dataCentreOut, day.CallersBurst: (*world).callersBurst, day.CallersMove: (*world).callersMove,
 }
--- a/pkg/emulation/operator.go
+++ b/pkg/emulation/operator.go
@@ -42,6 +42,9 @@
 	// idleRoutesAdded is how many routes without callers were ever added; it numbers
 	// them.
 	idleRoutesAdded int
+	// rewrittenAt is when the configuration was last written again after a restored
+	// store had lost it.
+	rewrittenAt time.Duration
 }
 
 // routeCheckKind says why a route is checked.
--- a/pkg/emulation/platform.go
+++ b/pkg/emulation/platform.go
@@ -48,6 +48,16 @@
 	// Answer executes a call. Waited is how long the call, a watch, has waited
 	// already.
 	Answer(method string, target *url.URL, body []byte, waited time.Duration) Answer
+	// Value returns the value of a key, and whether it exists.
+	Value(key string) ([]byte, bool)
+	// SetEra sets the era that the store sends, 0 for none.
+	SetEra(era uint64)
+	// Copy returns a copy of the contents. Restored returns what the store holds once it
+	// has returned from an earlier copy, in the next era.
+	Copy() Keys
+	Restored(from Keys) Keys
+	// Leases returns the numbers of all leases with the time that each lasts.
+	Leases() map[uint64]time.Duration
 }
 
 // Answer is a store's answer to a call.
--- a/pkg/emulation/server.go
+++ b/pkg/emulation/server.go
@@ -43,6 +43,8 @@
 	lastWriteAt  time.Duration
 	writtenState string
 	hasEntry     bool
+	// writtenValue is the entry as it was written last.
+	writtenValue []byte
 	// leaveKnownAt is when the store acknowledged that the server drains or is gone,
 	// 0 for neither.
 	leaveKnownAt time.Duration
@@ -92,6 +94,7 @@
 	}
 	v.writtenState, v.hasEntry = content, true
 	key, value := w.platform.ServerEntry(d)
+	v.writtenValue = value
 	w.store.change(func(k Keys) { k.Put(key, value) })
 	if v.draining && v.leaveKnownAt == 0 {
 		v.leaveKnownAt = w.clock.Now()
--- a/pkg/emulation/store.go
+++ b/pkg/emulation/store.go
@@ -43,6 +43,9 @@
 	// leaseEnds holds the time at which each lease ends.
 	leaseEnds map[uint64]time.Duration
 	callCount int
+	// copies are made each copyPeriod on days on which the store may be restored, the
+	// oldest first.
+	copies []storeCopy
 }
 
 // refusal is the status with which an instance is refused, or silentRefusal for no
--- a/pkg/emulation/world.go
+++ b/pkg/emulation/world.go
@@ -228,6 +228,7 @@
 	}
 	w.updateRotations()
 	w.every(lapseCheckPeriod, w.removeLapsedEntries)
+	w.prepareRestorations()
 	w.every(flowCheckPeriod, func() {
 		for _, v := range w.servers {
 			v.expireFlows(w.clock.Now())
