--- a/pkg/emulation/platform.go
+++ b/pkg/emulation/platform.go
@@ -30,6 +30,8 @@
 	ServerEntry(v directory.Server) (key string, value []byte)
 	ConfigurationEntry(c directory.Configuration) (key string, value []byte, err error)
 	EvacuationKey(dataCentre string) (key string)
+	// EraHeader returns the name of the header in which the store sends its era.
+	EraHeader() string
 	// NewKeys returns the empty contents of a store that lists so many keys a page.
 	NewKeys(page int) Keys
 }
@@ -46,6 +48,16 @@
 	// Answer executes a call. Waited is how long the call, a watch, has waited
 	// already.
 	Answer(method string, target *url.URL, body []byte, waited time.Duration) Answer
+	// Value returns the value of a key, and whether it exists.
+	Value(key string) ([]byte, bool)
+	// SetEra sets the era that the store sends, 0 for none.
+	SetEra(era uint64)
+	// Copy returns a copy of the contents. Restored returns what the store holds once it
+	// has returned from an earlier copy, in the next era.
+	Copy() Keys
+	Restored(from Keys) Keys
+	// Leases returns the numbers of all leases with the time that each lasts.
+	Leases() map[uint64]time.Duration
 }
 
 // Answer is a store's answer to a call.
@@ -60,4 +72,6 @@
 	Wrote    bool
 	Lease    uint64
 	LeaseFor time.Duration
+	// Era is the era in the answer's header, 0 for no header.
+	Era uint64
 }
