--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -25,6 +25,7 @@
 	observer    *observer
 	version     directory.Version
 	host        Host
+	guards      *guards
 	directories chan directory.Directory
 	// resetBuffer is reused for the packets that reset flows.
 	resetBuffer []byte
@@ -39,7 +40,7 @@
 	inquiries   chan inquiry
 	answers     chan answer
 	// heard receives the data centre of each message from another one.
-	heard chan string
+	heard chan heard
 	// ask and answer send messages to other instances; ask returns how many of the
 	// data centre it asked.
 	ask    func([]forwarding.Inquiry) int
@@ -50,8 +51,9 @@
 
 // peerLoads are the loads of backend servers that another instance reported.
 type peerLoads struct {
-	name  string
-	loads []forwarding.Load
+	receivedAt time.Duration
+	name       string
+	loads      []forwarding.Load
 	// aliveInstances is how many other instances of the data centre are alive.
 	aliveInstances int
 }
@@ -64,10 +66,17 @@
 
 // answer is the answer of another instance to an inquiry.
 type answer struct {
+	receivedAt    time.Duration
 	loads         []forwarding.Load
 	ownDataCentre bool
 }
 
+// heard says that a message of an instance in another data centre was received.
+type heard struct {
+	receivedAt time.Duration
+	dataCentre string
+}
+
 // peerReportQueue is how many reports of other instances can wait for the decider, and
 // how many inquiries and answers.
 const peerReportQueue = 32
@@ -77,7 +86,7 @@
 		options: o, core: c, readiness: r, host: h, observer: &observer{log: o.Logger, metrics: m},
 		directories: make(chan directory.Directory, 1), peerReports: make(chan peerLoads, peerReportQueue),
 		inquiries: make(chan inquiry, peerReportQueue), answers: make(chan answer, peerReportQueue),
-		heard: make(chan string, peerReportQueue),
+		heard: make(chan heard, peerReportQueue),
 	}
 	d.maxFlow.Store(int64(o.MaxFlow))
 	return d
@@ -125,9 +134,9 @@
 
 // queueHeard passes the data centre of a message to the decider. A full queue drops it,
 // as if the message was lost.
-func (d *decider) queueHeard(dataCentre string) {
+func (d *decider) queueHeard(h heard) {
 	select {
-	case d.heard <- dataCentre:
+	case d.heard <- h:
 	default:
 	}
 }
@@ -160,13 +169,13 @@
 		case <-ticks.C:
 			d.tick()
 		case p := <-d.peerReports:
-			d.core.ReceiveLoads(d.host.Now(), p.name, p.loads, p.aliveInstances)
+			d.receivePeerLoads(p)
 		case i := <-d.inquiries:
-			d.answer(d.core.AnswerInquiry(d.host.Now(), i.marks), i.from)
+			d.answerInquiry(i)
 		case a := <-d.answers:
-			d.core.ReceiveAnswer(d.host.Now(), a.loads, a.ownDataCentre)
-		case dataCentre := <-d.heard:
-			d.core.HeardFrom(d.host.Now(), dataCentre)
+			d.receiveAnswer(a)
+		case h := <-d.heard:
+			d.recordHeard(h)
 		}
 	}
 }
@@ -183,25 +192,25 @@
 		}
 		select {
 		case p := <-d.peerReports:
-			d.core.ReceiveLoads(d.host.Now(), p.name, p.loads, p.aliveInstances)
+			d.receivePeerLoads(p)
 			continue
 		default:
 		}
 		select {
 		case i := <-d.inquiries:
-			d.answer(d.core.AnswerInquiry(d.host.Now(), i.marks), i.from)
+			d.answerInquiry(i)
 			continue
 		default:
 		}
 		select {
 		case a := <-d.answers:
-			d.core.ReceiveAnswer(d.host.Now(), a.loads, a.ownDataCentre)
+			d.receiveAnswer(a)
 			continue
 		default:
 		}
 		select {
-		case dataCentre := <-d.heard:
-			d.core.HeardFrom(d.host.Now(), dataCentre)
+		case h := <-d.heard:
+			d.recordHeard(h)
 		default:
 			return
 		}
@@ -218,6 +227,7 @@
 }
 
 func (d *decider) tick() {
+	defer d.guards.ticks.Contain()
 	now := d.host.Now()
 	d.core.Tick(now, time.Duration(d.maxFlow.Load()))
 	if inquiries := d.core.Inquiries(now); len(inquiries) > 0 {
@@ -256,6 +266,7 @@
 // handlePacket forwards, resets or drops one datagram, which begins with the
 // headroom.
 func (d *decider) handlePacket(now time.Duration, datagram []byte) {
+	defer d.guards.packets.Contain()
 	s, err := d.options.Format.Parse(datagram[d.options.Format.Headroom():])
 	if err != nil {
 		d.observer.countMalformed()
--- a/pkg/process/entry/earlyreader.go
+++ b/pkg/process/entry/earlyreader.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/process/containment"
 )
 
 const (
@@ -25,6 +27,7 @@
 	push     func()
 	log      *slog.Logger
 	host     Host
+	guard    *containment.Guard
 	// after is the revision up to which the changes of each prefix were read; it is
 	// empty while nothing is read early.
 	after map[string]uint64
@@ -38,18 +41,24 @@
 func (r *earlyReader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.host.Pause(ctx, earlyPoll)
-		revision := r.state.revision()
-		if revision == 0 || r.follower.loadingFor() < earlyAfter {
-			r.after = nil
-			continue
-		}
-		if r.after == nil {
-			r.after = make(map[string]uint64)
-			r.log.Info("Follower: a large change arrives; reading others early.", "Revision", revision)
-		}
-		for _, prefix := range r.prefixes {
-			r.read(ctx, prefix, max(r.after[prefix], revision))
-		}
+		r.step(ctx)
+	}
+}
+
+// step reads early changes if a response takes long.
+func (r *earlyReader) step(ctx context.Context) {
+	defer r.guard.Contain()
+	revision := r.state.revision()
+	if revision == 0 || r.follower.loadingFor() < earlyAfter {
+		r.after = nil
+		return
+	}
+	if r.after == nil {
+		r.after = make(map[string]uint64)
+		r.log.Info("Follower: a large change arrives; reading others early.", "Revision", revision)
+	}
+	for _, prefix := range r.prefixes {
+		r.read(ctx, prefix, max(r.after[prefix], revision))
 	}
 }
 
@@ -64,7 +73,7 @@
 		return
 	}
 	r.after[prefix] = b.Revision
-	if r.state.applyEarly(b.Changes, "the store") {
+	if r.state.applyEarly(b.Changes, fromStore) {
 		r.push()
 	}
 }
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -53,21 +53,24 @@
 	follower  *follower
 	early     *earlyReader
 	registrar *registrar
+	guards    *guards
 }
 
 // NewEngine returns an instance without keys, configuration and peers.
 func NewEngine(o Options, h Host) (*Engine, error) {
-	e := &Engine{host: h, log: o.Logger, readiness: &readiness{}}
+	e := &Engine{host: h, log: o.Logger, readiness: &readiness{}, guards: newGuards(o.Logger)}
 	core := forwarding.New(forwarding.Options{
 		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, Policy: o.Policy, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
 	})
 	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) })
+	metrics.countPanics(e.guards)
 	e.decider = newDecider(o, core, e.readiness, h, metrics)
 	e.state = newState(o, e.decider, e.readiness, h.Now)
 	e.fetcher = newFetcher(o, e.state, h)
 	e.exchange = newExchange(o, e.state, e.decider, e.fetcher, h)
 	e.fetcher.relay = e.exchange.relay
 	e.decider.ask, e.decider.answer = e.exchange.ask, e.exchange.answer
+	metrics.count("tanagerweir_entry_unusable_entries_total", "Entries read from the store that couldn't be used.", e.state.unusable.Load)
 	link := &linkBudget{bytesPerSecond: o.LinkBytesPerSecond}
 	e.replicas = newReplicaServer(o, e.state, link, h.Now)
 	metrics.count("tanagerweir_entry_refused_fetches_total", "Fetches of other instances refused since the link's share was used up.", e.replicas.refused.Load)
@@ -77,6 +80,8 @@
 	if e.registrar, err = newRegistrar(o, e.state, h); err != nil {
 		return nil, err
 	}
+	e.decider.guards, e.exchange.guards = e.guards, e.guards
+	e.fetcher.guard, e.follower.guard, e.early.guard, e.registrar.guard = e.guards.fetcher, e.guards.follower, e.guards.early, e.guards.registrar
 	return e, nil
 }
 
@@ -119,7 +124,7 @@
 func (e *Engine) FetchRequested(ctx context.Context) bool {
 	select {
 	case from := <-e.fetcher.requests:
-		e.fetcher.fetch(ctx, from)
+		e.fetcher.step(ctx, from)
 		return true
 	default:
 		return false
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -161,12 +161,12 @@
 
 // serve starts the HTTP servers for other instances, routers and metrics.
 func (i *Instance) serve() error {
-	replicas, err := i.engine.replicas.listen(i.options)
+	replicas, err := i.engine.replicas.listen(i.options, i.engine.guards)
 	if err != nil {
 		return err
 	}
 	i.closers = append(i.closers, replicas.close)
-	ready, err := newReadyServer(i.options, i.engine.readiness)
+	ready, err := newReadyServer(i.options, i.engine.readiness, i.engine.guards)
 	if err != nil {
 		return err
 	}
@@ -175,7 +175,7 @@
 	if !i.options.Metrics.IsValid() {
 		return nil
 	}
-	metrics, err := newMetricsServer(i.options, i.options.Metrics, i.engine.decider.observer.metrics)
+	metrics, err := newMetricsServer(i.options, i.options.Metrics, i.engine.decider.observer.metrics, i.engine.guards)
 	if err != nil {
 		return err
 	}
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -39,6 +39,7 @@
 	log        *slog.Logger
 	name       string
 	dataCentre string
+	guards     *guards
 	// announcedRevision is the revision of the replica at the last announcement.
 	announcedRevision atomic.Uint64
 }
@@ -48,6 +49,8 @@
 }
 
 func (e *exchange) receive(datagram []byte, from netip.AddrPort) {
+	defer e.guards.received.Contain()
+	now := e.host.Now()
 	m, err := wire.Decode(datagram)
 	if err != nil {
 		e.log.Debug("Exchange: a datagram can't be decoded as a message of an instance.", "From", from, "Error", err)
@@ -58,7 +61,7 @@
 	}
 	otherDataCentre := m.Hello.From.DataCentre != e.dataCentre
 	if otherDataCentre {
-		e.decider.queueHeard(m.Hello.From.DataCentre)
+		e.decider.queueHeard(heard{receivedAt: now, dataCentre: m.Hello.From.DataCentre})
 	}
 	advanced, newer := e.state.receiveHello(m.Hello, m.Batch)
 	if advanced && otherDataCentre {
@@ -72,9 +75,9 @@
 	}
 	switch {
 	case m.Answer:
-		e.decider.queueAnswer(answer{loads: m.Loads, ownDataCentre: !otherDataCentre})
+		e.decider.queueAnswer(answer{receivedAt: now, loads: m.Loads, ownDataCentre: !otherDataCentre})
 	case !otherDataCentre && len(m.Loads) > 0:
-		e.decider.queuePeerLoads(peerLoads{name: m.Hello.From.Name, loads: m.Loads, aliveInstances: e.state.aliveInstances()})
+		e.decider.queuePeerLoads(peerLoads{receivedAt: now, name: m.Hello.From.Name, loads: m.Loads, aliveInstances: e.state.aliveInstances()})
 	}
 }
 
@@ -95,6 +98,7 @@
 // sendState sends this instance's state to as many peers as the budget allows. A
 // follower leaves out the loads and sends to more peers.
 func (e *exchange) sendState() {
+	defer e.guards.exchange.Contain()
 	m := wire.Message{Hello: e.state.hello()}
 	if !m.Hello.Following {
 		m.Loads = e.decider.loads()
--- a/pkg/process/entry/fetcher.go
+++ b/pkg/process/entry/fetcher.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/gzip"
 
+	"github.com/tanagerweir/tanagerweir/pkg/process/containment"
 	"github.com/tanagerweir/tanagerweir/pkg/transfer"
 	wire "github.com/tanagerweir/tanagerweir/service/entry"
 )
@@ -42,6 +43,7 @@
 	host     Host
 	random   *rand.Rand
 	requests chan source
+	guard    *containment.Guard
 	// relay announces changes from another data centre to the instances of this one.
 	relay func()
 }
@@ -79,11 +81,17 @@
 		case <-ctx.Done():
 			return
 		case from := <-f.requests:
-			f.fetch(ctx, from)
+			f.step(ctx, from)
 		}
 	}
 }
 
+// step makes a fetch and contains its panics.
+func (f *fetcher) step(ctx context.Context, from source) {
+	defer f.guard.Contain()
+	f.fetch(ctx, from)
+}
+
 // fetch makes a fetch, unless the replica has got the changes meanwhile. If the source
 // is busy, it is asked again after a pause, or another one that is known by then.
 func (f *fetcher) fetch(ctx context.Context, from source) {
@@ -144,14 +152,14 @@
 }
 
 // listen returns the HTTP server for the fetches of other instances.
-func (s *replicaServer) listen(o Options) (*webServer, error) {
+func (s *replicaServer) listen(o Options, g *guards) (*webServer, error) {
 	listener, err := net.Listen("tcp4", o.Peers.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for instances' fetches")
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+changesPath, s.serve)
-	return newWebServer("Exchange", listener, mux, webLimits{header: fetchSilence}, o.Logger), nil
+	return newWebServer("Exchange", listener, g.web.Handler(mux), webLimits{header: fetchSilence}, o.Logger), nil
 }
 
 func (s *replicaServer) serve(w http.ResponseWriter, r *http.Request) {
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tanagerweir/tanagerweir/pkg/process/containment"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
 	"github.com/tanagerweir/tanagerweir/pkg/transfer"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
@@ -65,6 +66,7 @@
 	historyGone func(error) bool
 	log         *slog.Logger
 	host        Host
+	guard       *containment.Guard
 	random      *rand.Rand
 	// failedCalls counts failed calls in a row.
 	failedCalls int
@@ -95,7 +97,7 @@
 			f.host.Pause(ctx, idlePoll)
 			continue
 		}
-		if err := f.call(ctx); err != nil && ctx.Err() == nil {
+		if err := f.guard.Do(func() error { return f.call(ctx) }); err != nil && ctx.Err() == nil {
 			f.handleFailure(err)
 			f.host.Pause(ctx, f.backoff())
 		}
@@ -114,7 +116,7 @@
 	}
 	f.failedCalls, f.readAll = 0, false
 	before := f.state.revision()
-	if !f.state.applyBatch(b, "the store") {
+	if !f.state.applyBatch(b, fromStore) {
 		f.readAll = true
 		return nil
 	}
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -72,6 +72,16 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
 }
 
+// countPanics adds a counter of each part's contained panics.
+func (m *metrics) countPanics(g *guards) {
+	for _, guard := range g.all() {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "tanagerweir_entry_panics_total", Help: "Panics that were contained, by the part that panicked.",
+			ConstLabels: prometheus.Labels{"part": guard.Part()},
+		}, func() float64 { return float64(guard.Panics()) }))
+	}
+}
+
 // countDecision counts a packet by the decision taken for it.
 func (m *metrics) countDecision(d forwarding.Decision) {
 	m.packets[d.Reason].Inc()
@@ -99,12 +109,12 @@
 	}
 }
 
-func newMetricsServer(o Options, endpoint netip.AddrPort, m *metrics) (*webServer, error) {
+func newMetricsServer(o Options, endpoint netip.AddrPort, m *metrics, g *guards) (*webServer, error) {
 	listener, err := net.Listen("tcp4", endpoint.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for metrics scrapes")
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+MetricsPath, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
-	return newWebServer("Metrics", listener, mux, webLimits{header: metricsDeadline, response: metricsDeadline}, o.Logger), nil
+	return newWebServer("Metrics", listener, g.web.Handler(mux), webLimits{header: metricsDeadline, response: metricsDeadline}, o.Logger), nil
 }
--- a/pkg/process/entry/pacer.go
+++ b/pkg/process/entry/pacer.go
@@ -42,23 +42,29 @@
 // send sends a packet, or keeps a copy of it until the link is free. It drops the packet
 // if too many wait.
 func (p *pacer) send(datagram []byte, flow uint64, to netip.AddrPort) {
-	p.mu.Lock()
-	if p.queue.Pass(p.now(), len(datagram)) {
-		p.mu.Unlock()
+	if p.passOrKeep(datagram, flow, to) {
 		p.write(datagram, to)
-		return
 	}
+}
+
+// passOrKeep reports whether the packet may be sent now; otherwise it keeps a copy.
+func (p *pacer) passOrKeep(datagram []byte, flow uint64, to netip.AddrPort) bool {
+	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.queue.Pass(p.now(), len(datagram)) {
+		return true
+	}
 	o := outgoing{datagram: append(p.buffer(), datagram...), to: to}
 	if !p.queue.Add(p.now(), flow, len(datagram), o) {
 		p.free = append(p.free, o.datagram)
 		p.overflow++
-		return
+		return false
 	}
 	select {
 	case p.added <- struct{}{}:
 	default:
 	}
+	return false
 }
 
 // buffer returns an empty buffer. The caller holds the lock.
--- a/pkg/process/entry/ready.go
+++ b/pkg/process/entry/ready.go
@@ -33,7 +33,7 @@
 	return r.configured.Load() && !r.stopping.Load() && !r.unserved.Load()
 }
 
-func newReadyServer(o Options, ready *readiness) (*webServer, error) {
+func newReadyServer(o Options, ready *readiness, g *guards) (*webServer, error) {
 	listener, err := net.Listen("tcp4", o.Ready.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for readiness probes of routers")
@@ -44,5 +44,5 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return newWebServer("Ready", listener, mux, webLimits{header: readyDeadline, response: readyDeadline}, o.Logger), nil
+	return newWebServer("Ready", listener, g.web.Handler(mux), webLimits{header: readyDeadline, response: readyDeadline}, o.Logger), nil
 }
--- a/pkg/process/entry/registrar.go
+++ b/pkg/process/entry/registrar.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/process/containment"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -38,6 +39,7 @@
 	log    *slog.Logger
 	random *rand.Rand
 	host   Host
+	guard  *containment.Guard
 
 	lease     uint64
 	renewedAt time.Duration
@@ -67,7 +69,7 @@
 		if r.state.revision() == 0 {
 			continue
 		}
-		if err := r.step(ctx); err != nil && ctx.Err() == nil {
+		if err := r.guard.Do(func() error { return r.step(ctx) }); err != nil && ctx.Err() == nil {
 			r.log.WarnContext(logs.Always(), "Registrar: the instance's registration can't be written or renewed.", "Error", err)
 			r.host.Pause(ctx, time.Duration(r.random.Int64N(int64(missingLimit))))
 		}
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
@@ -26,11 +27,18 @@
 	replica   *replica.Replica
 	directory directory.Directory
 	members   *membership.Core
+	// discarded is set from a panic until all keys are read from the store again.
+	discarded bool
+	// unusable counts the entries that couldn't be used.
+	unusable atomic.Uint64
 	// cutOff is set once it is logged that the instance reaches neither the store
 	// nor instances that do.
 	cutOff bool
 }
 
+// fromStore names the store as the sender of changes in logs.
+const fromStore = "the store"
+
 // cutOffAfter is the age of the replica's last confirmation from which on the
 // instance counts as cut off: by then, other instances with a stale replica follow
 // the store.
@@ -129,6 +137,10 @@
 }
 
 func (s *state) applyLocked(b replica.Batch, from string) bool {
+	if s.discarded && from != fromStore {
+		return true
+	}
+	s.discarded = false
 	changes, ok := s.replica.Apply(b)
 	s.translateLocked(changes, from)
 	return ok
@@ -139,8 +151,15 @@
 	if len(changes) == 0 {
 		return
 	}
+	translated := false
+	defer func() {
+		if !translated {
+			s.discardLocked()
+		}
+	}()
 	before := s.directory
 	next, problems := s.translate(before, changes)
+	s.unusable.Add(uint64(len(problems)))
 	for _, p := range problems {
 		s.log.Warn("Directory: an entry can't be used.", "Error", p, "From", from)
 	}
@@ -148,11 +167,19 @@
 	s.members.SetRegistered(s.now(), registeredMembers(next))
 	s.logChanges(before, next, from)
 	s.decider.queueDirectory(next)
+	translated = true
 	if next.Version() > 0 && s.readiness.setConfigured() {
 		s.log.InfoContext(logs.Always(), "Instance: ready.", "Version", next.Version(), "Revision", s.replica.Revision(), "After", s.now(), "From", from)
 	}
 }
 
+// discardLocked discards the replica after a panic, as it has changes that the directory
+// lacks. All keys are read again from the store, as the replica of another instance may be
+// older than the discarded one; until then the decider keeps the last directory.
+func (s *state) discardLocked() {
+	s.replica, s.directory, s.discarded = replica.New(), directory.New(), true
+}
+
 func registeredMembers(d directory.Directory) []membership.Member {
 	instances := d.Instances()
 	members := make([]membership.Member, len(instances))
--- a/pkg/process/instance/instance.go
+++ b/pkg/process/instance/instance.go
@@ -65,6 +65,7 @@
 	activeRequests requestCounter
 	tasks          sync.WaitGroup
 	security       security
+	guards         guards
 }
 
 // New starts an instance. The returned function ends it at once and may be called
@@ -90,6 +91,7 @@
 	i.state = newState(s, o)
 	i.state.withCore(func(_ time.Time, c *control.Core) { c.SetSeeds(s.Seeds) })
 	i.metrics = newMetrics(i)
+	i.guards = newGuards(o, i.metrics.registry)
 	i.platformSync = newPlatformSync(i, o)
 	i.exchange = newExchange(i)
 	i.configSync = newConfigSync(i)
--- a/pkg/process/instance/packets.go
+++ b/pkg/process/instance/packets.go
@@ -123,6 +123,7 @@
 }
 
 func (p *packets) decide(d datagram) {
+	defer p.node.guards.packets.Contain()
 	head, problem := p.parser.Parse(d.raw)
 	if problem != parcel.Fine {
 		p.drops.add(problem.String())
--- a/pkg/process/instance/servers.go
+++ b/pkg/process/instance/servers.go
@@ -54,7 +54,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	httpServer := &http.Server{Handler: h, Protocols: protocols, ReadHeaderTimeout: callTimeout}
+	httpServer := &http.Server{Handler: s.node.guards.calls.Handler(h), Protocols: protocols, ReadHeaderTimeout: callTimeout}
 	serve := func() error { return httpServer.Serve(listener) }
 	if protection != nil {
 		protocols.SetHTTP2(true)
@@ -86,7 +86,7 @@
 }
 
 func (s *servers) addPeer(listener net.Listener) {
-	grpcServer := grpc.NewServer(s.node.security.peerServer()...)
+	grpcServer := grpc.NewServer(append(s.node.guards.peerServer(), s.node.security.peerServer()...)...)
 	api.RegisterPeerServer(grpcServer, s.node.exchange)
 	api.RegisterFlowPeerServer(grpcServer, &flowPeer{incoming: s.node.packets.incomingMessages})
 	s.entries = append(s.entries, server{
