--- a/pkg/process/entry/earlyreader.go
+++ b/pkg/process/entry/earlyreader.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/process/containment"
 )
 
 const (
@@ -25,6 +27,7 @@
 	push     func()
 	log      *slog.Logger
 	host     Host
+	guard    *containment.Guard
 	// after is the revision up to which the changes of each prefix were read, in this
 	// era; it is empty while nothing is read early.
 	after map[string]uint64
@@ -39,19 +42,25 @@
 func (r *earlyReader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.host.Pause(ctx, earlyPoll)
-		p := r.state.position()
-		revision := p.Revision
-		if revision == 0 || r.follower.loadingFor() < earlyAfter {
-			r.after = nil
-			continue
-		}
-		if r.after == nil || r.era != p.Era {
-			r.after, r.era = make(map[string]uint64), p.Era
-			r.log.Info("Follower: a large change arrives; reading others early.", "Revision", revision)
-		}
-		for _, prefix := range r.prefixes {
-			r.read(ctx, prefix, max(r.after[prefix], revision))
-		}
+		r.step(ctx)
+	}
+}
+
+// step reads early changes if a response takes long.
+func (r *earlyReader) step(ctx context.Context) {
+	defer r.guard.Contain()
+	p := r.state.position()
+	revision := p.Revision
+	if revision == 0 || r.follower.loadingFor() < earlyAfter {
+		r.after = nil
+		return
+	}
+	if r.after == nil || r.era != p.Era {
+		r.after, r.era = make(map[string]uint64), p.Era
+		r.log.Info("Follower: a large change arrives; reading others early.", "Revision", revision)
+	}
+	for _, prefix := range r.prefixes {
+		r.read(ctx, prefix, max(r.after[prefix], revision))
 	}
 }
 
@@ -69,7 +78,7 @@
 		return // the follower reads all keys of a newer era
 	}
 	r.after[prefix] = b.Revision
-	if r.state.applyEarly(b.Era, b.Changes, "the store") {
+	if r.state.applyEarly(b.Era, b.Changes, fromStore) {
 		r.push()
 	}
 }
