Observe the capacity and health of backend servers

Cause: servers that pass probes and yet answer slowly, with errors or not at all get as many flows as healthy ones, since any acknowledged byte is a sign of life.

Change: pkg/connection/capacity compares the servers of a service by failures and answer times, this instance's and those that others report, limits slow servers and ejects outliers, at most 30 % of the service's slots. forwarding feeds it from flows and places by it; fields 9 to 12 of Load carry the evidence.

Ruled out: an effect on deployments without the contract.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/process/entry"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
 	"github.com/tanagerweir/tanagerweir/platform"
@@ -98,6 +100,7 @@
 		Metrics:            netip.AddrPortFrom(s.Packets.Addr(), metricsPort),
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
 		MaxFlow:            s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
+		Health: forwarding.HealthOptions{Enabled: slices.Contains(s.Contracts, platform.ContractHealth)},
 	}
 }
 
--- /dev/null
+++ b/pkg/connection/capacity/eject.go
@@ -0,0 +1,251 @@
+package capacity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// referencePart is the part of the servers, from those with the fewest failures on, that
+	// the others are compared with. A smaller part would make chance alone look like an
+	// outlier; a larger one would consist of degraded servers where three in five are.
+	referencePart = 0.6
+	// leastReferenceShare is the smallest share of failures that is assumed of healthy
+	// servers, as answers may be short and packets may be lost.
+	leastReferenceShare = 0.02
+	// leastReference is the weight of the answers that the comparison needs.
+	leastReference = 5
+	// leastMargin is how much larger than the reference a server's share of failures has to
+	// be, plus half of the reference: servers that shed in a crowd differ from each other.
+	leastMargin = 0.2
+	// leastFailures is the smallest weight of failures for which a server is ejected.
+	leastFailures = 2
+	// leastLikelihood is the logarithm of the likelihood ratio from which on a share of
+	// failures isn't chance: about 1 in 10,000 comparisons of healthy servers exceeds it.
+	// leastLikelihoodAgain is that for a server that was ejected shortly before.
+	leastLikelihood      = 7
+	leastLikelihoodAgain = 3.5
+	// leastEjecting is the number of other instances whose ejection an instance follows
+	// without evidence of its own.
+	leastEjecting = 2
+	// priorWeight is the weight of the assumption that a server is like the others.
+	priorWeight = 4
+	// riskTolerance is the excess of failures that counts for nothing.
+	riskTolerance = 0.05
+	// leastSlowness is the ratio of answer times from which on a server counts as slow: the
+	// averages of few answers, and of servers in another data centre, differ by less.
+	leastSlowness = 1.8
+	// slowAgain is the ratio below which a slow server no longer counts as slow.
+	slowAgain = 1.4
+)
+
+// Fleet is what Update needs to know about the instances.
+type Fleet struct {
+	// Reporting is the number of other instances of the data centre whose reports count.
+	Reporting int
+	// Rank returns this instance's place in the order of instances that probe the server,
+	// 0 for the first.
+	Rank func(id string) int
+}
+
+// Usable is a server that may get flows, and its slots.
+type Usable struct {
+	*Server
+	ID    string
+	Slots int
+}
+
+// ranked is a server with its evidence.
+type ranked struct {
+	Usable
+	evidence   Evidence
+	likelihood float64
+}
+
+// Update compares the usable servers of a service and changes their states. Call it
+// for each service once in each 0.1 s.
+func (c *Core) Update(now time.Duration, service string, servers []Usable, f Fleet) {
+	c.ranking = c.ranking[:0]
+	slots, ejected := 0, 0
+	for _, v := range servers {
+		slots += v.Slots
+		c.updateEjection(now, service, v, f)
+		if v.state >= Probed {
+			ejected += v.Slots
+		}
+		c.ranking = append(c.ranking, ranked{Usable: v, evidence: v.combined(now)})
+	}
+	c.compareFailures()
+	c.compareTimes(now, service)
+	allowed := int(c.options.GreatestEjectedPart * float64(slots))
+	c.eject(now, service, allowed-ejected, f)
+	degraded := false
+	for _, v := range c.ranking {
+		v.proven = v.risk == 0 && v.slowness <= 1 && v.evidence.Answered-v.evidence.Failed >= leastWeight
+		degraded = degraded || v.risk > 0 || v.state != Healthy
+	}
+	c.group(service).degraded = degraded
+}
+
+// compareFailures sets each server's risk and the likelihood that it is degraded.
+func (c *Core) compareFailures() {
+	slices.SortStableFunc(c.ranking, func(a, b ranked) int { return cmp.Compare(a.evidence.share(), b.evidence.share()) })
+	known := 0
+	for _, v := range c.ranking {
+		if v.evidence.Answered >= leastWeight {
+			known++
+		}
+	}
+	var total Evidence
+	rest := int(math.Ceil(referencePart * float64(known)))
+	for _, v := range c.ranking {
+		if v.evidence.Answered >= leastWeight && rest > 0 {
+			total.Answered += v.evidence.Answered
+			total.Failed += v.evidence.Failed
+			rest--
+		}
+	}
+	reference := max(total.share(), leastReferenceShare)
+	for i := range c.ranking {
+		v := &c.ranking[i]
+		v.reference, v.risk, v.likelihood = reference, 0, 0
+		if total.Answered < leastReference || known < 2 {
+			continue
+		}
+		e := v.evidence
+		v.risk = max((e.Failed+priorWeight*reference)/(e.Answered+priorWeight)-reference-riskTolerance, 0)
+		v.likelihood = likelihood(e, reference)
+	}
+}
+
+// likelihood returns the logarithm of how much likelier the server's own share of
+// failures makes what was seen than the reference does, 0 if the share is too small.
+func likelihood(e Evidence, reference float64) float64 {
+	share := e.share()
+	if e.Failed < leastFailures || share < reference+leastMargin+reference/2 || reference >= 1 {
+		return 0
+	}
+	l := e.Failed * math.Log(share/reference)
+	if share < 1 {
+		l += (e.Answered - e.Failed) * math.Log((1-share)/(1-reference))
+	}
+	return l
+}
+
+// compareTimes sets each server's slowness, and whether it is Limited.
+func (c *Core) compareTimes(now time.Duration, service string) {
+	slices.SortStableFunc(c.ranking, func(a, b ranked) int { return cmp.Compare(a.evidence.AnswerTime, b.evidence.AnswerTime) })
+	known := 0
+	for _, v := range c.ranking {
+		if v.evidence.AnswerTime > 0 {
+			known++
+		}
+	}
+	rest := int(math.Ceil(referencePart * float64(known)))
+	weights, times := 0.0, 0.0
+	for _, v := range c.ranking {
+		if v.evidence.AnswerTime > 0 && rest > 0 {
+			w := v.evidence.Answered - v.evidence.Failed
+			weights += w
+			times += w * float64(v.evidence.AnswerTime)
+			rest--
+		}
+	}
+	for _, v := range c.ranking {
+		v.slowness = 1
+		if good := v.evidence.Answered - v.evidence.Failed; weights >= leastReference && v.evidence.AnswerTime > 0 && good > 0 {
+			// Few answers say little.
+			ratio := float64(v.evidence.AnswerTime) * weights / times
+			v.slowness = 1 + max(ratio-1, 0)*good/(good+1)
+		}
+		least := leastSlowness
+		if v.state == Limited {
+			least = slowAgain
+		}
+		if v.slowness < least {
+			v.slowness = 1
+		}
+		switch {
+		case v.state == Healthy && v.slowness > 1:
+			c.setState(now, service, v.Usable, Limited)
+		case v.state == Limited && v.slowness <= 1:
+			c.setState(now, service, v.Usable, Healthy)
+		}
+	}
+}
+
+// eject ejects outliers, the clearest first, as long as their slots are within the
+// allowed number.
+func (c *Core) eject(now time.Duration, service string, allowed int, f Fleet) {
+	slices.SortStableFunc(c.ranking, func(a, b ranked) int { return cmp.Compare(b.likelihood, a.likelihood) })
+	sources := min(2, 1+f.Reporting)
+	for _, v := range c.ranking {
+		if v.state >= Probed || v.Slots > allowed {
+			continue
+		}
+		least := float64(leastLikelihood)
+		if v.ejections > 0 {
+			least = leastLikelihoodAgain
+		}
+		// An instance whose own link is at fault sees failures that no other sees.
+		outlier := v.likelihood >= least && v.sources(now) >= sources
+		followed := v.others.ejecting >= leastEjecting && v.others.ejecting > v.others.cleared && v.others.ejectedLeft > 0
+		if !outlier && !followed {
+			continue
+		}
+		allowed -= v.Slots
+		c.startEjection(now, service, v.Usable)
+		if !outlier {
+			v.until = now + min(v.others.ejectedLeft, c.options.LongestEjection)
+		}
+	}
+}
+
+// startEjection ejects the server, for twice as long as the last time.
+func (c *Core) startEjection(now time.Duration, service string, s Usable) {
+	period := c.options.ShortestEjection
+	for range s.ejections {
+		if period = min(2*period, c.options.LongestEjection); period == c.options.LongestEjection {
+			break
+		}
+	}
+	s.ejections++
+	s.until = now + period
+	c.setState(now, service, s, Ejected)
+}
+
+// updateEjection begins and ends the trials after an ejection.
+func (c *Core) updateEjection(now time.Duration, service string, v Usable, f Fleet) {
+	switch v.state {
+	case Ejected:
+		if v.others.ejecting >= leastEjecting && v.others.ejectedLeft > 0 {
+			// Two instances have seen that trials fail.
+			v.until = max(v.until, now+min(v.others.ejectedLeft, c.options.LongestEjection))
+		}
+		if now >= v.until {
+			v.limit, v.good, v.trialAt, v.lastEjected = 1, 0, 0, now
+			v.turn = now + min(time.Duration(f.Rank(v.ID))*turnPeriod, c.options.LongestEjection)
+			// What was seen before the ejection says nothing about the server now.
+			v.own = counts{}
+			c.setState(now, service, v, Probed)
+		}
+	case Probed:
+		switch {
+		case v.limit == 0:
+			c.startEjection(now, service, v)
+		case v.limit >= v.Slots:
+			c.setState(now, service, v, Healthy)
+		case now < v.turn && v.others.ejecting >= leastEjecting && v.others.ejectedLeft > time.Millisecond:
+			v.until = now + min(v.others.ejectedLeft, c.options.LongestEjection)
+			c.setState(now, service, v, Ejected)
+		case v.others.cleared > 0:
+			v.turn = min(v.turn, now)
+		}
+	default:
+		if v.ejections > 0 && now-v.lastEjected > c.options.LongestEjection {
+			v.ejections = 0
+		}
+	}
+}
--- a/pkg/connection/forwarding/bench_test.go
+++ b/pkg/connection/forwarding/bench_test.go
@@ -43,8 +43,10 @@
 func bySize(b *testing.B, run func(b *testing.B, c *forwarding.Core)) {
 	b.Helper()
 	for _, size := range fleetSizes {
-		c := newCore(sized(size.servers, size.services))
-		b.Run(fmt.Sprintf("Servers=%d", size.servers), func(b *testing.B) { run(b, c) })
+		for _, health := range []bool{false, true} {
+			c := newCoreWith(forwarding.HealthOptions{Enabled: health}, sized(size.servers, size.services))
+			b.Run(fmt.Sprintf("Servers=%d/Health=%t", size.servers, health), func(b *testing.B) { run(b, c) })
+		}
 	}
 }
 
@@ -110,7 +112,13 @@
 
 // The packet path must not allocate memory.
 func TestDecisionsAllocateNothing(t *testing.T) {
-	c := newCore(sized(150, 2))
+	for _, health := range []bool{false, true} {
+		testAllocations(t, newCoreWith(forwarding.HealthOptions{Enabled: health}, sized(150, 2)))
+	}
+}
+
+func testAllocations(t *testing.T, c *forwarding.Core) {
+	t.Helper()
 	p := newCaller(routeOf(0))
 	open := p.open(0)
 	p.mark = uint32(c.Decide(time.Second, open).Mark)
--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -44,6 +44,8 @@
 	// failureCounted is true if the present wait, for the opening or for an answer,
 	// already counts as a failure of the backend server.
 	failureCounted bool
+	// answer is what is known of the latest answer, for the server's health.
+	answer answer
 }
 
 func (f *flow) tried(v *server) bool {
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -123,6 +123,8 @@
 	Seed uint64
 	// Policy ranks backend servers; nil stands for placement.Score.
 	Policy placement.Policy
+	// Health are the settings of what is learnt of servers' capacity and health.
+	Health HealthOptions
 }
 
 // Core decides about the packets that one instance receives.
@@ -154,6 +156,7 @@
 	unserved    bool
 	unservedAt  time.Duration
 	reachEvents []ReachEvent
+	health      health
 }
 
 // New returns a Core without a directory; it drops packets until Adopt.
@@ -164,6 +167,7 @@
 	return &Core{
 		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
 		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration),
+		health: newHealth(o.Health),
 	}
 }
 
@@ -314,6 +318,7 @@
 		v.observed.average += averageWeight * (float64(v.observed.running) - v.observed.average)
 	}
 	c.combineReports(now)
+	c.updateHealth(now)
 	for _, v := range c.servers.sorted {
 		c.updateState(now, v)
 	}
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 )
 
@@ -38,6 +39,10 @@
 	// ColdLeft is for how long the instance still takes the server for cold since it
 	// may have been started anew, 0 if it doesn't.
 	ColdLeft time.Duration
+	// Evidence is what the instance's flows show of the server's health, and
+	// EjectedLeft for how long the instance still ejects it, 0 if it doesn't.
+	Evidence    capacity.Evidence
+	EjectedLeft time.Duration
 }
 
 // report holds another instance's loads and the time when they were received.
@@ -53,11 +58,14 @@
 	for _, m := range slices.Sorted(maps.Keys(c.servers.byMark)) {
 		v := c.servers.byMark[m]
 		o := &v.observed
-		if o.openFlows == 0 && o.running == 0 && o.failures == 0 && o.average < 1.0/64 && now >= v.suspectUntil {
+		if o.openFlows == 0 && o.running == 0 && o.failures == 0 && o.average < 1.0/64 && now >= v.suspectUntil && !c.health.reports(now, v) {
 			continue
 		}
 		loads = append(loads, v.load(now))
 	}
+	if c.health.on() {
+		return c.health.choose(loads)
+	}
 	if len(loads) > maxLoads {
 		slices.SortStableFunc(loads, func(a, b Load) int { return b.Failures + b.Open - a.Failures - a.Open })
 		loads = loads[:maxLoads]
@@ -71,7 +79,7 @@
 	return Load{
 		Mark: v.mark, Open: o.openFlows, Running: o.average,
 		Failures: o.failures, FailedAge: now - o.lastFailure, Stuck: o.stuck, AliveAge: now - o.lastAlive,
-		ColdLeft: max(v.suspectUntil-now, 0),
+		ColdLeft: max(v.suspectUntil-now, 0), Evidence: v.health.Own(now), EjectedLeft: v.health.EjectedLeft(now),
 	}
 }
 
@@ -103,6 +111,7 @@
 func (c *Core) combineReports(now time.Duration) {
 	for _, v := range c.servers.sorted {
 		v.observed.others = others{}
+		v.health.ClearReports(now)
 	}
 	reporting := 0
 	// In a fixed order, since sums of floating-point numbers depend on it.
@@ -116,9 +125,11 @@
 		for _, l := range r.loads {
 			if v, ok := c.servers.byMark[l.Mark]; ok {
 				v.observed.others.add(l, r.received)
+				v.health.AddReport(capacity.Report{Evidence: l.Evidence, Age: now - r.received, EjectedLeft: l.EjectedLeft})
 			}
 		}
 	}
+	c.health.reporting = reporting
 	c.reportScale = 1
 	if reporting > 0 && c.peerCount > reporting {
 		c.reportScale = float64(c.peerCount) / float64(reporting)
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -201,6 +201,7 @@
 	c.openingsChecked = now
 	for f := c.flows.nextUnopened(now - answerTime); f != nil; f = c.flows.nextUnopened(now - answerTime) {
 		f.failureCounted = true
+		c.health.recordUnopened(now, f.lastTried())
 		if v := f.lastTried(); v.observed.recordUnopened(now, f) {
 			c.reachOf(v.DataCentre).recordFailure(v)
 		}
@@ -210,6 +211,7 @@
 // recordPlacement records where an opening packet goes.
 func (c *Core) recordPlacement(now time.Duration, f *flow, v *server) {
 	v.observed.recordTrial(now)
+	v.health.RecordFlow(now)
 	if r := c.reachOf(v.DataCentre); r.lost {
 		r.nextTrial = now + reachTrialPeriod
 	}
@@ -262,6 +264,7 @@
 		c.reachOf(v.DataCentre).recordFailure(v)
 	}
 	events.began = f.waiting && !waiting
+	c.observeHealth(now, s, f, events)
 	if s.Flags&(segment.Finish|segment.Abort) != 0 {
 		c.flows.remove(f)
 	}
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -14,13 +14,20 @@
 // suspected ones that weren't tried, then those that were tried, and then cold
 // ones; servers out of reach come last.
 func (c *Core) place(now time.Duration, r directory.Route, f *flow) *server {
-	servers := c.servers.byService[serviceOf(r, f.key)]
+	service := serviceOf(r, f.key)
+	servers, trial := c.servers.byService[service], c.health.allowsTrial(now, service, r)
 	c.draw++
-	for _, accept := range [...]func(*server) bool{
+	reserve := c.health.reserves(service, r)
+	for pass, accept := range [...]func(*server) bool{
 		func(v *server) bool {
-			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
+			return c.proven(v) && c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
+		},
+		func(v *server) bool {
+			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now) && c.accepts(now, trial, v)
+		},
+		func(v *server) bool {
+			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && c.accepts(now, trial, v)
 		},
-		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) },
 		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) },
 		func(v *server) bool {
 			return c.usable(now, v) && c.withinReach(now, v) && c.acceptsCold(now, v)
@@ -28,10 +35,13 @@
 		func(v *server) bool { return c.warm(now, v) },
 		func(v *server) bool { return c.usable(now, v) && c.acceptsCold(now, v) },
 	} {
+		if pass == 0 && !reserve {
+			continue
+		}
 		best := placement.NewBest(c.draw, c.options.Policy)
 		for i, v := range servers {
 			if accept(v) {
-				best.Offer(i, c.candidate(now, v))
+				best.Offer(i, c.weighHealth(c.candidate(now, v), r, v))
 			}
 		}
 		if i, ok := best.Choice(); ok {
@@ -89,7 +99,7 @@
 func (c *Core) candidate(now time.Duration, v *server) placement.Candidate {
 	return placement.Candidate{
 		Server:  v.ID,
-		Slots:   v.capacity(),
+		Slots:   max(v.capacity(), 1),
 		Running: float64(v.observed.running) + c.reportScale*v.observed.others.running,
 		Open:    float64(v.observed.openFlows) + c.reportScale*float64(v.observed.others.openFlows),
 		Local:   v.DataCentre == c.options.DataCentre,
@@ -97,5 +107,6 @@
 	}
 }
 
-// capacity returns how many requests the backend server carries at once.
-func (v *server) capacity() int { return v.Slots }
+// capacity returns how many requests the backend server carries at once, 0 while it is
+// ejected.
+func (v *server) capacity() int { return v.health.Limit(v.Slots) }
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -26,6 +27,7 @@
 	// been started anew, as this instance or another one of the data centre has seen.
 	suspectUntil time.Duration
 	observed     observations
+	health       capacity.Server
 	// state is the state as of the last event, and silentAt when it last became Silent.
 	state    ServerState
 	silentAt time.Duration
@@ -62,7 +64,7 @@
 		if v := c.servers.update(now, mark.Of(after.ID), *after); v != nil {
 			// The server was restarted: its earlier flows are gone.
 			c.flows.removeServer(v)
-			v.observed = observations{}
+			v.observed, v.health = observations{}, capacity.Server{}
 		}
 	})
 	c.directory = d
--- a/pkg/connection/forwarding/world_test.go
+++ b/pkg/connection/forwarding/world_test.go
@@ -70,7 +70,11 @@
 }
 
 func newCore(d directory.Directory) *forwarding.Core {
-	c := forwarding.New(forwarding.Options{Name: "entry", DataCentre: near, Seed: 1, ColdFactor: 1.5, ColdSlack: 5})
+	return newCoreWith(forwarding.HealthOptions{}, d)
+}
+
+func newCoreWith(h forwarding.HealthOptions, d directory.Directory) *forwarding.Core {
+	c := forwarding.New(forwarding.Options{Name: "entry", DataCentre: near, Seed: 1, ColdFactor: 1.5, ColdSlack: 5, Health: h})
 	c.Confirm(0, 1)
 	c.Adopt(0, d)
 	return c
--- a/pkg/emulation/day/day.go
+++ b/pkg/emulation/day/day.go
@@ -28,7 +28,9 @@
 	Warmup, Length time.Duration
 	// ModuloHash makes routers choose an instance by the remainder of a hash, so that
 	// nearly all flows move to another instance when one joins or leaves.
-	ModuloHash  bool
+	ModuloHash bool
+	// Health says that the platform calls for observing the health of backend servers.
+	Health      bool
 	Bounds      Bounds
 	Links       Links
 	Instances   Instances
--- a/pkg/emulation/day/load.go
+++ b/pkg/emulation/day/load.go
@@ -165,6 +165,7 @@
 		Warmup:     r.duration("Day", "Warmup", "10s"),
 		Length:     r.duration("Day", "Length", "34s"),
 		ModuloHash: r.choice("Day", "Hash", "Steady", "Steady", "Modulo") == "Modulo",
+		Health:     r.choice("Day", "Health", "No", "No", "Yes") == "Yes",
 		Bounds:     r.bounds(),
 		Links:      r.links(),
 		Instances: Instances{
--- a/pkg/emulation/world.go
+++ b/pkg/emulation/world.go
@@ -195,6 +195,7 @@
 	o.MaxFlow, o.ColdFactor, o.ColdSlack = b.MaxFlow, b.ColdFactor, b.ColdSlack
 	o.Seed = w.seed<<16 + uint64(slices.Index(w.instances, i))<<8 + uint64(i.boot)
 	o.LinkBytesPerSecond = i.bytesPerSecond
+	o.Health.Enabled = w.day.Health
 	o.Policy = w.design.policyFor(w, i)
 	o.Logger = w.logger(i)
 	return o
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -228,6 +228,7 @@
 	}
 	d.observer.recordServerStates(d.core.Events())
 	d.observer.recordReach(d.core.ReachEvents())
+	d.observer.recordHealth(d.core.HealthEvents(), d.core.HealthStates(now))
 	if d.readiness.setServed(d.core.Served()) {
 		d.observer.recordServed(d.core.Served())
 	}
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -60,8 +60,12 @@
 	e := &Engine{host: h, log: o.Logger, readiness: &readiness{}}
 	core := forwarding.New(forwarding.Options{
 		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, Policy: o.Policy, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
+		Health: o.Health,
 	})
 	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) })
+	if o.Health.Active() {
+		metrics.registerHealth()
+	}
 	e.decider = newDecider(o, core, e.readiness, h, metrics)
 	e.state = newState(o, e.decider, e.readiness, h.Now)
 	e.fetcher = newFetcher(o, e.state, h)
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -108,7 +109,9 @@
 	MaxFlow time.Duration
 	// ColdFactor and ColdSlack are passed to forwarding.Options.
 	ColdFactor, ColdSlack float64
-	Logger                *slog.Logger
+	// Health is passed to forwarding.Options.
+	Health forwarding.HealthOptions
+	Logger *slog.Logger
 	// Seed seeds the instance's random streams.
 	Seed uint64
 	// Policy ranks backend servers for new flows; nil selects the default policy.
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -41,10 +41,15 @@
 	dataCentre string
 	// announcedRevision is the revision of the replica at the last announcement.
 	announcedRevision atomic.Uint64
+	// saved is how many bytes of the budget are left from the periods before, where reports
+	// contain health.
+	saved int
+	// health says that they do.
+	health bool
 }
 
 func newExchange(o Options, s *state, d *decider, f *fetcher, h Host) *exchange {
-	return &exchange{host: h, state: s, decider: d, fetcher: f, log: o.Logger, name: o.Name, dataCentre: o.DataCentre}
+	return &exchange{host: h, state: s, decider: d, fetcher: f, log: o.Logger, name: o.Name, dataCentre: o.DataCentre, health: o.Health.Active()}
 }
 
 func (e *exchange) receive(datagram []byte, from netip.AddrPort) {
@@ -104,7 +109,27 @@
 		return
 	}
 	limit := int(controlBytesPerSecond * ExchangePeriod.Seconds() / float64(len(datagram)))
-	e.sendDatagram(datagram, e.state.periodPeers(max(limit, 1)))
+	if !e.health || m.Hello.Following {
+		e.sendDatagram(datagram, e.state.periodPeers(max(limit, 1)))
+		return
+	}
+	if limit = e.affordable(len(datagram)); limit == 0 {
+		// Other data centres still have to hear of this instance.
+		e.send(wire.Message{Hello: m.Hello}, e.state.periodPeers(0))
+		return
+	}
+	e.sendDatagram(datagram, e.state.periodPeers(limit))
+}
+
+// affordable adds a period's budget to what is left of the last one's, and returns how many
+// messages of that length it pays for, which it takes off. Reports with health fill a
+// datagram, which is more than a period's budget.
+func (e *exchange) affordable(length int) int {
+	const period = controlBytesPerSecond * ExchangePeriod / time.Second
+	e.saved = min(e.saved+int(period), max(length, int(period)))
+	n := e.saved / length
+	e.saved -= n * length
+	return n
 }
 
 // ask sends inquiries about backend servers to the instances of this data centre and to
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -35,6 +35,9 @@
 	placed       *prometheus.CounterVec
 	answers      *prometheus.HistogramVec
 	serverStates []prometheus.Counter
+	// healthStates and healthChanges are nil unless health is observed.
+	healthStates  []prometheus.Gauge
+	healthChanges *prometheus.CounterVec
 }
 
 func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration) *metrics {
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
@@ -54,6 +55,8 @@
 			Failures: uint32(l.Failures), FailedAgeMilliseconds: toMilliseconds(l.FailedAge),
 			Stuck: uint32(l.Stuck), AliveAgeMilliseconds: toMilliseconds(l.AliveAge),
 			ColdLeftMilliseconds: toMilliseconds(l.ColdLeft),
+			AnsweredHundredths:   toHundredths(l.Evidence.Answered), FailedHundredths: toHundredths(l.Evidence.Failed),
+			AnswerMilliseconds: toMilliseconds(l.Evidence.AnswerTime), EjectedLeftMilliseconds: toMilliseconds(l.EjectedLeft),
 		})
 	}
 	if m.Batch != nil {
@@ -99,6 +102,7 @@
 			Failures: int(l.GetFailures()), FailedAge: fromMilliseconds(l.GetFailedAgeMilliseconds()),
 			Stuck: int(l.GetStuck()), AliveAge: fromMilliseconds(l.GetAliveAgeMilliseconds()),
 			ColdLeft: fromMilliseconds(l.GetColdLeftMilliseconds()),
+			Evidence: evidenceFromWire(l), EjectedLeft: fromMilliseconds(l.GetEjectedLeftMilliseconds()),
 		})
 	}
 	if w.GetBatch() != nil {
@@ -108,6 +112,21 @@
 	return m, nil
 }
 
+// evidenceFromWire returns what a load says of the backend server's health, with no more
+// failures than answers.
+func evidenceFromWire(l *Load) capacity.Evidence {
+	answered := float64(l.GetAnsweredHundredths()) / hundredths
+	return capacity.Evidence{
+		Answered: answered, Failed: min(float64(l.GetFailedHundredths())/hundredths, answered),
+		AnswerTime: fromMilliseconds(l.GetAnswerMilliseconds()),
+	}
+}
+
+// toHundredths returns a sum in hundredths, limited to the range from 0 to math.MaxInt32.
+func toHundredths(sum float64) uint32 {
+	return uint32(min(max(math.Round(sum*hundredths), 0), math.MaxInt32))
+}
+
 // EncodeBatch returns a batch encoded as the body of the answer to a fetch by
 // another instance.
 func EncodeBatch(b replica.Batch) ([]byte, error) {
