--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -61,9 +61,13 @@
 	e := &Engine{host: h, log: o.Logger, readiness: &readiness{}, guards: newGuards(o.Logger)}
 	core := forwarding.New(forwarding.Options{
 		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, Policy: o.Policy, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
+		Health: o.Health,
 	})
 	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) })
 	metrics.countPanics(e.guards)
+	if o.Health.Active() {
+		metrics.registerHealth()
+	}
 	e.decider = newDecider(o, core, e.readiness, h, metrics)
 	e.state = newState(o, e.decider, e.readiness, h.Now)
 	metrics.count("tanagerweir_entry_store_restorations_total", "Times that the store returned restored from an older copy.", e.state.restorations.Load)
