Keep what a restored copy of the store contradicts for a limited time

Cause: the keys of a restored store lack the latest writes, so that a data centre that was out, a draining server or one that had left got new flows until the writes were written again, and an entry of an earlier start showed its server as restarted and warm.

Change: the package transition keeps the directory that the keys give and the one in force. After a change of era, data centres stay out, draining and departed servers stay so, an entry of an earlier start replaces none of a later one, and instances stay registered, until the entry is written again at a higher revision, a deletion is reported, or maxStretchMs (section bounds of the settings, 10 s without it) has passed. A server that the first keys lack stays for 2 s. Entries are compared by era and revision, as revisions are used again. The 2 s after an outage don't apply to deletions once the outage has ended with a restoration.

Ruled out: rules inside the forwarding core, which sees directories and can't tell a deletion from a missing entry; taking an entry at or below the first revision for a new one, as it may be the copy's.

Each rule undone in turn fails a test.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -97,6 +97,7 @@
 		HistoryGone:        func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
 		Metrics:            netip.AddrPortFrom(s.Packets.Addr(), metricsPort),
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
+		MaxStretch:         s.Bounds.MaxStretch,
 		MaxFlow:            s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
 	}
 }
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -141,6 +141,8 @@
 	// confirmed is when the directory was last known to be the newest, and
 	// outageEnded when this was so again after an outage of the platform.
 	confirmed, outageEnded time.Duration
+	// eraChanged is when the era of the platform's store last changed, 0 for never.
+	eraChanged time.Duration
 	// lastAnswer is when a caller last acknowledged new data.
 	lastAnswer time.Duration
 	// openingsChecked is when checkOpenings last ran.
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -51,6 +51,7 @@
 		// The first update after an outage, which arrives before its confirmation.
 		c.outageEnded = now
 	}
+	c.noteEra(now, d)
 	changed := false
 	d.Differences(c.directory, func(before, after *directory.Server) {
 		if after == nil {
@@ -78,7 +79,7 @@
 		return // unknown, missing already, or another server has its mark
 	}
 	v.missing, v.missingSince, v.usableUntil = true, now, now
-	if !v.Draining && c.outageEnded > 0 {
+	if !v.Draining && c.outageEnded > 0 && !c.outageEndedByRestoration() {
 		v.usableUntil = max(now, c.outageEnded+graceAfterOutage)
 	}
 }
@@ -109,7 +110,7 @@
 		// flows, as their packets couldn't be distinguished later.
 		return nil
 	}
-	if d.Revision != v.Revision || v.missing {
+	if d.Revision != v.Revision || d.Era != v.Era || v.missing {
 		v.coldUntil = now + d.ColdLeft
 	}
 	if known && d.StartedMillis != v.StartedMillis {
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -108,6 +108,9 @@
 	LinkBytesPerSecond float64
 	// MaxFlow is how long a flow may last.
 	MaxFlow time.Duration
+	// MaxStretch is how long knowledge of the era before may stay in force after the store
+	// was restored from an older copy; 0 selects transition.DefaultStretch.
+	MaxStretch time.Duration
 	// ColdFactor and ColdSlack are passed to forwarding.Options.
 	ColdFactor, ColdSlack float64
 	Logger                *slog.Logger
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
+	"github.com/tanagerweir/tanagerweir/pkg/version/transition"
 )
 
 // state is what the instance knows about the platform and other instances: the
@@ -23,10 +24,13 @@
 	log       *slog.Logger
 	now       func() time.Duration
 
-	mu        sync.Mutex
-	replica   *replica.Replica
-	directory directory.Directory
-	members   *membership.Core
+	mu      sync.Mutex
+	replica *replica.Replica
+	// transition holds the directory that the replica gives; directory is the one in
+	// force, which differs for a while after the store was restored.
+	transition *transition.Core
+	directory  directory.Directory
+	members    *membership.Core
 	// cutOff is set once it is logged that the instance reaches neither the store
 	// nor instances that do.
 	cutOff bool
@@ -43,7 +47,7 @@
 	self := membership.Member{Name: o.Name, DataCentre: o.DataCentre, Endpoint: o.Peers}
 	return &state{
 		translate: o.Translate, decider: d, readiness: r, log: o.Logger, now: now,
-		replica: replica.New(), directory: directory.New(), members: membership.New(self, o.Seeds, o.Seed),
+		replica: replica.New(), transition: transition.New(o.MaxStretch), directory: directory.New(), members: membership.New(self, o.Seeds, o.Seed),
 	}
 }
 
@@ -138,7 +142,8 @@
 	before := s.replica.Position()
 	changes, ok := s.replica.Apply(b)
 	if s.replica.Position().Era != before.Era {
-		s.beginEra(before, len(changes), from)
+		s.beginEra(before, changes, from)
+		return true
 	}
 	s.translateLocked(changes, from)
 	return ok
@@ -149,11 +154,26 @@
 	if len(changes) == 0 {
 		return
 	}
-	before := s.directory
-	next, problems := s.translate(before, changes)
+	read := s.readLocked(changes, from)
+	if deleted := s.withoutDeletedLocked(changes); deleted != nil {
+		s.adoptLocked(s.transition.Delete(s.now(), *deleted, read), from)
+		return
+	}
+	s.adoptLocked(s.transition.Update(s.now(), read), from)
+}
+
+// readLocked returns the directory that the replica gives after changes.
+func (s *state) readLocked(changes []replica.Change, from string) directory.Directory {
+	read, problems := s.translate(s.transition.Read(), changes)
 	for _, p := range problems {
 		s.log.Warn("Directory: an entry can't be used.", "Error", p, "From", from)
 	}
+	return read
+}
+
+// adoptLocked puts a directory in force.
+func (s *state) adoptLocked(next directory.Directory, from string) {
+	before := s.directory
 	s.directory = next
 	s.members.SetRegistered(s.now(), registeredMembers(next))
 	s.logChanges(before, next, from)
@@ -172,11 +192,12 @@
 	return members
 }
 
-// registered reports whether the replica contains exactly this registration.
+// registered reports whether the replica contains exactly this registration. One that is
+// only held after a restoration doesn't count.
 func (s *state) registered(self directory.Instance) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found, ok := s.directory.Instance(self.Name)
+	found, ok := s.transition.Read().Instance(self.Name)
 	return ok && found == self
 }
 
@@ -210,6 +231,7 @@
 func (s *state) hello() membership.Hello {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expireTransition()
 	h := s.members.Hello(s.now())
 	s.logCutOff(h.ConfirmedAge)
 	h.Revision, h.EarlyRevision = s.replica.Revision(), s.replica.EarlyRevision()
--- a/pkg/version/directory/directory.go
+++ b/pkg/version/directory/directory.go
@@ -89,8 +89,9 @@
 	// StartedMillis is its start time in milliseconds since the Unix epoch by its
 	// own clock, 0 if unknown. It distinguishes two starts under one identifier.
 	StartedMillis int64
-	// Revision is the platform's revision of this description.
-	Revision uint64
+	// Era and Revision are the platform's revision of this description, in an era of its
+	// store.
+	Era, Revision uint64
 }
 
 // Instance is one load balancer instance as it registered itself. It may have
@@ -113,6 +114,7 @@
 	evacuated   map[string]bool
 	instances   map[string]Instance
 	idleTimeout time.Duration
+	era         uint64
 }
 
 // New returns an empty directory, at version 0.
@@ -130,6 +132,15 @@
 // dropped.
 func (d Directory) IdleTimeout() time.Duration { return d.idleTimeout }
 
+// Era returns the era of the platform's store, 0 if unknown.
+func (d Directory) Era() uint64 { return d.era }
+
+// WithEra returns d with the era of the platform's store set.
+func (d Directory) WithEra(era uint64) Directory {
+	d.era = era
+	return d
+}
+
 // Route returns the route at an address and port.
 func (d Directory) Route(endpoint netip.AddrPort) (Route, bool) {
 	r, ok := d.routes[endpoint]
@@ -235,7 +246,7 @@
 			visit(nil, &current[0])
 			current = current[1:]
 		default:
-			if previous[0].Revision != current[0].Revision {
+			if previous[0].Revision != current[0].Revision || previous[0].Era != current[0].Era {
 				visit(&previous[0], &current[0])
 			}
 			previous, current = previous[1:], current[1:]
