--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -11,6 +11,7 @@
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
+	"github.com/tanagerweir/tanagerweir/pkg/version/transition"
 )
 
 // state is what the instance knows about the platform and other instances: the
@@ -23,10 +24,15 @@
 	log       *slog.Logger
 	now       func() time.Duration
 
-	mu        sync.Mutex
-	replica   *replica.Replica
-	directory directory.Directory
-	members   *membership.Core
+	mu      sync.Mutex
+	replica *replica.Replica
+	// stretch is the setting for the transition.
+	stretch time.Duration
+	// transition holds the directory that the replica gives; directory is the one in
+	// force, which differs for a while after the store was restored.
+	transition *transition.Core
+	directory  directory.Directory
+	members    *membership.Core
 	// discarded is set from a panic until all keys are read from the store again.
 	discarded bool
 	// unusable counts the entries that couldn't be used.
@@ -50,7 +56,7 @@
 	self := membership.Member{Name: o.Name, DataCentre: o.DataCentre, Endpoint: o.Peers}
 	return &state{
 		translate: o.Translate, decider: d, readiness: r, log: o.Logger, now: now,
-		replica: replica.New(), directory: directory.New(), members: membership.New(self, o.Seeds, o.Seed),
+		replica: replica.New(), stretch: o.MaxStretch, transition: transition.New(o.MaxStretch), directory: directory.New(), members: membership.New(self, o.Seeds, o.Seed),
 	}
 }
 
@@ -137,7 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	applied := s.replica.ApplyEarly(era, changes)
-	s.translateLocked(applied, from)
+	s.orDiscardLocked(func() { s.translateLocked(applied, from) })
 	return len(applied) > 0
 }
 
@@ -148,35 +154,59 @@
 	s.discarded = false
 	before := s.replica.Position()
 	changes, ok := s.replica.Apply(b)
-	if s.replica.Position().Era != before.Era {
-		s.beginEra(before, len(changes), from)
-	}
-	s.translateLocked(changes, from)
+	s.orDiscardLocked(func() {
+		if s.replica.Position().Era != before.Era {
+			s.beginEra(before, changes, from)
+		} else {
+			s.translateLocked(changes, from)
+		}
+	})
 	return ok
 }
 
+// orDiscardLocked makes a step that changes the directory, and discards the replica if it
+// panics.
+func (s *state) orDiscardLocked(step func()) {
+	done := false
+	defer func() {
+		if !done {
+			s.discardLocked()
+		}
+	}()
+	step()
+	done = true
+}
+
 // translateLocked applies changes of the replica to the directory.
 func (s *state) translateLocked(changes []replica.Change, from string) {
 	if len(changes) == 0 {
 		return
 	}
-	translated := false
-	defer func() {
-		if !translated {
-			s.discardLocked()
-		}
-	}()
-	before := s.directory
-	next, problems := s.translate(before, changes)
+	read := s.readLocked(changes, from)
+	if deleted := s.withoutDeletedLocked(changes); deleted != nil {
+		s.adoptLocked(s.transition.Delete(s.now(), *deleted, read), from)
+		return
+	}
+	s.adoptLocked(s.transition.Update(s.now(), read), from)
+}
+
+// readLocked returns the directory that the replica gives after changes.
+func (s *state) readLocked(changes []replica.Change, from string) directory.Directory {
+	read, problems := s.translate(s.transition.Read(), changes)
 	s.unusable.Add(uint64(len(problems)))
 	for _, p := range problems {
 		s.log.Warn("Directory: an entry can't be used.", "Error", p, "From", from)
 	}
+	return read
+}
+
+// adoptLocked puts a directory in force.
+func (s *state) adoptLocked(next directory.Directory, from string) {
+	before := s.directory
 	s.directory = next
 	s.members.SetRegistered(s.now(), registeredMembers(next))
 	s.logChanges(before, next, from)
 	s.decider.queueDirectory(next)
-	translated = true
 	if next.Version() > 0 && s.readiness.setConfigured() {
 		s.log.InfoContext(logs.Always(), "Instance: ready.", "Version", next.Version(), "Revision", s.replica.Revision(), "After", s.now(), "From", from)
 	}
@@ -186,7 +216,7 @@
 // lacks. All keys are read again from the store, as the replica of another instance may be
 // older than the discarded one; until then the decider keeps the last directory.
 func (s *state) discardLocked() {
-	s.replica, s.directory, s.discarded = replica.New(), directory.New(), true
+	s.replica, s.transition, s.directory, s.discarded = replica.New(), transition.New(s.stretch), directory.New(), true
 }
 
 func registeredMembers(d directory.Directory) []membership.Member {
@@ -198,11 +228,12 @@
 	return members
 }
 
-// registered reports whether the replica contains exactly this registration.
+// registered reports whether the replica contains exactly this registration. One that is
+// only held after a restoration doesn't count.
 func (s *state) registered(self directory.Instance) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found, ok := s.directory.Instance(self.Name)
+	found, ok := s.transition.Read().Instance(self.Name)
 	return ok && found == self
 }
 
@@ -236,6 +267,7 @@
 func (s *state) hello() membership.Hello {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expireTransition()
 	h := s.members.Hello(s.now())
 	s.logCutOff(h.ConfirmedAge)
 	h.Revision, h.EarlyRevision = s.replica.Revision(), s.replica.EarlyRevision()
