--- a/pkg/process/entry/entry_test.go
+++ b/pkg/process/entry/entry_test.go
@@ -32,7 +32,7 @@
 
 // synPacket returns the packet that opens a flow from 127.0.0.1 and the given port
 // to 198.18.0.1:443.
-func synPacket(t *testing.T, port uint16) []byte {
+func synPacket(t testing.TB, port uint16) []byte {
 	t.Helper()
 	b, err := hex.DecodeString("0000a1b2c3d57f000001c61200019c4101bb11223344000000000000000001")
 	if err != nil {
--- a/pkg/process/entry/sockets.go
+++ b/pkg/process/entry/sockets.go
@@ -162,15 +162,21 @@
 	return DecodeFetch(transfer.Reader(ctx, response.ContentLength, response.Body))
 }
 
+var errFetchTooLarge = errors.Errorf("entry: the response to a fetch has more than %d bytes", maxFetchBytes)
+
 // DecodeFetch reads the response to a fetch.
 func DecodeFetch(response io.Reader) (replica.Batch, error) {
 	unpacked, err := gzip.NewReader(response)
 	if err != nil {
 		return replica.Batch{}, errors.Wrap(err, "decompress fetch response")
 	}
-	body, err := io.ReadAll(io.LimitReader(unpacked, maxFetchBytes))
+	body, err := io.ReadAll(io.LimitReader(unpacked, maxFetchBytes+1))
 	if err != nil {
 		return replica.Batch{}, errors.Wrap(err, "read fetch response")
 	}
+	if len(body) > maxFetchBytes {
+		// The part up to the limit may be a valid batch, which would lack keys.
+		return replica.Batch{}, errFetchTooLarge
+	}
 	return wire.DecodeBatch(body)
 }
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -66,8 +66,8 @@
 	return data, nil
 }
 
-// Decode reads a datagram. It fails if the sender has no name or its port is
-// out of range.
+// Decode reads a datagram. It fails if the sender has no name, or its port or a
+// revision is out of range.
 func Decode(datagram []byte) (Message, error) {
 	var w Hello
 	if err := proto.Unmarshal(datagram, &w); err != nil {
@@ -101,8 +101,14 @@
 			ColdLeft: fromMilliseconds(l.GetColdLeftMilliseconds()),
 		})
 	}
+	if err := checkRevisions(m.Hello.Revision, m.Hello.EarlyRevision); err != nil {
+		return Message{}, err
+	}
 	if w.GetBatch() != nil {
 		batch := batchFromWire(w.GetBatch())
+		if err := checkBatch(batch); err != nil {
+			return Message{}, err
+		}
 		m.Batch = &batch
 	}
 	return m, nil
@@ -124,7 +130,11 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return replica.Batch{}, errors.Wrap(err, "unmarshal batch")
 	}
-	return batchFromWire(&m), nil
+	b := batchFromWire(&m)
+	if err := checkBatch(b); err != nil {
+		return replica.Batch{}, err
+	}
+	return b, nil
 }
 
 func batchToWire(b replica.Batch) *Batch {
