--- a/pkg/process/entry/fuzz_test.go
+++ b/pkg/process/entry/fuzz_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-func (h *stillHost) Fetch(context.Context, netip.AddrPort, uint64) (replica.Batch, error) {
+func (h *stillHost) Fetch(context.Context, netip.AddrPort, replica.Position) (replica.Batch, error) {
 	return replica.Batch{}, entry.ErrBusy
 }
 
@@ -75,7 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.HandleMessage(message(t, "entry-2", 8, 0, &replica.Batch{Whole: true, Revision: 8, Changes: []replica.Change{
+	e.HandleMessage(helloFrom(t, "entry-2", 8, 0, &replica.Batch{Whole: true, Revision: 8, Changes: []replica.Change{
 		{Key: "op/config", Value: fmt.Appendf(nil, configuration, 1), Revision: 7},
 		{Key: "servers/i-1", Value: []byte(`{"service":"board","address":"10.0.0.1:80","zone":"near","slots":3,"state":"ready","coldLeftMs":0}`), Revision: 8},
 	}}), netip.AddrPort{})
@@ -85,8 +85,8 @@
 	return e, &log
 }
 
-// message returns the datagram with an instance's hello.
-func message(t testing.TB, name string, revision uint64, confirmedAge time.Duration, b *replica.Batch) []byte {
+// helloFrom returns the datagram with an instance's hello.
+func helloFrom(t testing.TB, name string, revision uint64, confirmedAge time.Duration, b *replica.Batch) []byte {
 	t.Helper()
 	datagram, err := wire.Encode(wire.Message{Batch: b, Hello: membership.Hello{
 		From:     membership.Member{Name: name, DataCentre: "near", Endpoint: netip.MustParseAddrPort("127.0.0.1:7721")},
@@ -101,10 +101,10 @@
 // FuzzEngine gives an instance a message and a packet. Neither may cause a panic, also one
 // that is contained.
 func FuzzEngine(f *testing.F) {
-	f.Add(message(f, "entry-3", 9, time.Hour, &replica.Batch{After: 8, Revision: 9, Changes: []replica.Change{
+	f.Add(helloFrom(f, "entry-3", 9, time.Hour, &replica.Batch{After: 8, Revision: 9, Changes: []replica.Change{
 		{Key: "servers/i-1", Revision: 9, Deleted: true}, {Key: "op/evacuate/near", Revision: 1 << 53},
 	}}), synPacket(f, 40001))
-	f.Add(message(f, "entry-3", 1<<53, 0, &replica.Batch{Whole: true, Revision: 1 << 53}), synPacket(f, 0))
+	f.Add(helloFrom(f, "entry-3", 1<<53, 0, &replica.Batch{Whole: true, Revision: 1 << 53}), synPacket(f, 0))
 	f.Add([]byte{0xff, 0xff}, []byte{})
 	f.Fuzz(func(t *testing.T, datagram, packet []byte) {
 		if len(packet) > platform.MaxPacketBytes+1 {
@@ -119,7 +119,7 @@
 			e.Tick()
 			e.SendState()
 		}
-		if _, err := e.ServeFetch(0); err != nil {
+		if _, err := e.ServeFetch(replica.Position{}); err != nil {
 			t.Errorf("the replica can't be served: %v", err)
 		}
 		if strings.Contains(log.String(), "panicked") {
--- a/service/entry/fuzz_test.go
+++ b/service/entry/fuzz_test.go
@@ -160,7 +160,7 @@
 // passOn checks that a replica that lacks what r has gets the same keys from it.
 func passOn(t *testing.T, r *replica.Replica) {
 	t.Helper()
-	body, err := entry.EncodeBatch(r.Since(0))
+	body, err := entry.EncodeBatch(r.Since(replica.Position{}))
 	if err != nil {
 		t.Fatal(err)
 	}
