Restrict servers that may have been started anew until that is settled

Cause: a backend server that restarted under its identifier got more flows than its cold bound until its entry arrived.

Change: an opening without a further packet or data that goes unanswered is a sign that the server may have ended. From then on it gets trials and cold flows only, until it answers in a flow that was open before the sign or sooner than it could have been started anew, its entry is confirmed after it answered again, or it has answered for ColdFor. A cold server warms up once its entry was confirmed after its cold time, at the latest ColdFor later. Instances tell each other of the first sign at once, within the budget for messages. If nothing better is left, such servers get flows: until they answer, then one each second, and copies while the directory is fresh.

--- a/pkg/connection/forwarding/events.go
+++ b/pkg/connection/forwarding/events.go
@@ -49,9 +49,6 @@
 	if state == v.state {
 		return
 	}
-	if v.state == Silent && v.observed.lastSign() > v.silentAt {
-		c.suspectRestart(v, v.observed.lastSign(), true)
-	}
 	if state == Silent {
 		v.silentAt = now
 	}
--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -36,6 +36,8 @@
 	// server is the backend server at which the flow is open, nil while it opens.
 	server     *server
 	lastPacket time.Duration
+	// openSince is when the first packet after the opening arrived here.
+	openSince time.Duration
 	// sentEnd is the sequence number after the last byte that the caller sent, and
 	// acknowledged the one after the last byte that it acknowledged.
 	sentEnd, acknowledged uint32
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -154,6 +154,10 @@
 	unserved    bool
 	unservedAt  time.Duration
 	reachEvents []ReachEvent
+	// restartEvents wait for a call of RestartEvents, and noticesDue says that Notices may
+	// have something to tell.
+	restartEvents []RestartEvent
+	noticesDue    bool
 }
 
 // New returns a Core without a directory; it drops packets until Adopt.
@@ -264,7 +268,10 @@
 	c.checkOpenings(now)
 	c.askFor(now, route)
 	f := c.openFlow(now, s)
-	v := c.place(now, route, f)
+	v := c.place(now, route, f, s.Copy())
+	if v == nil && c.usableSoon(now, route, f, s.Copy()) {
+		return Decision{Verdict: Drop, Reason: NoServer, Route: route.Name}
+	}
 	if v == nil {
 		return Decision{Verdict: Reset, Reason: NoServer, Route: route.Name}
 	}
@@ -314,6 +321,7 @@
 		v.observed.average += averageWeight * (float64(v.observed.running) - v.observed.average)
 	}
 	c.combineReports(now)
+	c.settleSigns(now)
 	for _, v := range c.servers.sorted {
 		c.updateState(now, v)
 	}
--- a/pkg/connection/forwarding/inquiry.go
+++ b/pkg/connection/forwarding/inquiry.go
@@ -111,7 +111,7 @@
 	var loads []Load
 	for _, m := range marks[:min(len(marks), maxInquiries)] {
 		if v, ok := c.servers.byMark[m]; ok {
-			loads = append(loads, v.load(now))
+			loads = append(loads, c.load(now, v))
 		}
 	}
 	return loads
@@ -120,7 +120,7 @@
 // ReceiveAnswer applies the answer of another instance, of the own data centre or
 // another one, to an inquiry.
 func (c *Core) ReceiveAnswer(now time.Duration, loads []Load, ownDataCentre bool) {
-	c.receiveSuspicions(now, loads)
+	c.receiveSigns(now, loads)
 	counted := make(map[*reach]bool)
 	for _, l := range loads {
 		v, ok := c.servers.byMark[l.Mark]
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -53,10 +53,10 @@
 	for _, m := range slices.Sorted(maps.Keys(c.servers.byMark)) {
 		v := c.servers.byMark[m]
 		o := &v.observed
-		if o.openFlows == 0 && o.running == 0 && o.failures == 0 && o.average < 1.0/64 && now >= v.suspectUntil {
+		if o.openFlows == 0 && o.running == 0 && o.failures == 0 && o.average < 1.0/64 && c.coldLeft(now, v) == 0 {
 			continue
 		}
-		loads = append(loads, v.load(now))
+		loads = append(loads, c.load(now, v))
 	}
 	if len(loads) > maxLoads {
 		slices.SortStableFunc(loads, func(a, b Load) int { return b.Failures + b.Open - a.Failures - a.Open })
@@ -66,12 +66,12 @@
 }
 
 // load returns what this instance has seen of the backend server.
-func (v *server) load(now time.Duration) Load {
+func (c *Core) load(now time.Duration, v *server) Load {
 	o := &v.observed
 	return Load{
 		Mark: v.mark, Open: o.openFlows, Running: o.average,
 		Failures: o.failures, FailedAge: now - o.lastFailure, Stuck: o.stuck, AliveAge: now - o.lastAlive,
-		ColdLeft: max(v.suspectUntil-now, 0),
+		ColdLeft: c.coldLeft(now, v),
 	}
 }
 
@@ -81,24 +81,10 @@
 func (c *Core) ReceiveLoads(now time.Duration, name string, loads []Load, alive int) {
 	c.reports[name] = report{received: now, loads: loads}
 	c.peerCount = alive
-	c.receiveSuspicions(now, loads)
+	c.receiveSigns(now, loads)
 	c.combineReports(now)
 }
 
-// receiveSuspicions applies what another instance says of servers that may have been
-// started anew.
-func (c *Core) receiveSuspicions(now time.Duration, loads []Load) {
-	for _, l := range loads {
-		v, ok := c.servers.byMark[l.Mark]
-		if !ok || l.ColdLeft == 0 {
-			continue
-		}
-		if service, ok := c.directory.Service(v.Service); ok {
-			v.suspectRestart(now + min(l.ColdLeft, service.ColdFor))
-		}
-	}
-}
-
 // combineReports sums up the reports that still count.
 func (c *Core) combineReports(now time.Duration) {
 	for _, v := range c.servers.sorted {
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -183,6 +183,7 @@
 	}
 	if v := f.lastTried(); v != nil {
 		if !f.failureCounted && v.observed.recordUnanswered(now, f.lastSent) {
+			c.recordSign(now, v, f.lastSent, v.observed.failures)
 			c.reachOf(v.DataCentre).recordFailure(v)
 		}
 		f.countLoad(-1)
@@ -202,6 +203,7 @@
 	for f := c.flows.nextUnopened(now - answerTime); f != nil; f = c.flows.nextUnopened(now - answerTime) {
 		f.failureCounted = true
 		if v := f.lastTried(); v.observed.recordUnopened(now, f) {
+			c.recordSign(now, v, f.lastSent, v.observed.failures)
 			c.reachOf(v.DataCentre).recordFailure(v)
 		}
 	}
@@ -213,7 +215,7 @@
 	if r := c.reachOf(v.DataCentre); r.lost {
 		r.nextTrial = now + reachTrialPeriod
 	}
-	if now < v.coldUntil {
+	if now < v.coldUntil || c.doubtful(now, v) {
 		v.coldSent = now
 	}
 	f.lastSent, f.failureCounted = now, false
@@ -255,10 +257,12 @@
 	waiting := f.waiting
 	if f.acknowledge(s) {
 		c.signOfLife(now, v)
+		c.recordRun(now, v, f.openSince)
 		events.answered, events.waited = waiting, now-f.lastSent
 	}
 	waiting = f.waiting
 	if f.observeData(now, s) {
+		c.recordSign(now, v, f.lastSent, v.observed.failures)
 		c.reachOf(v.DataCentre).recordFailure(v)
 	}
 	events.began = f.waiting && !waiting
@@ -273,32 +277,14 @@
 func (c *Core) established(now time.Duration, s segment.Segment, f *flow, v *server) {
 	openedHere := f.lastTried() != nil
 	f.countLoad(-1)
-	f.server, f.waiting = v, false
+	f.server, f.waiting, f.openSince = v, false, now
 	f.sentEnd, f.acknowledged = s.Sequence, s.Acknowledged
 	f.countLoad(1)
 	if !openedHere {
 		return
 	}
-	if v.observed.failures >= suspectFailures {
-		// The server may have been restarted, and the platform may not report that
-		// yet.
-		c.suspectRestart(v, now, now-v.observed.lastSign() >= silentAfter)
-	}
 	c.signOfLife(now, v)
-}
-
-// suspectRestart lets the server count as cold since it may have been started anew
-// shortly before the given time. The other instances are told only if nobody had seen a
-// sign of life for long, as a server that was merely full would be cold for all of them.
-func (c *Core) suspectRestart(v *server, startedAt time.Duration, wasSilent bool) {
-	service, ok := c.directory.Service(v.Service)
-	switch {
-	case !ok:
-	case wasSilent:
-		v.suspectRestart(startedAt + service.ColdFor)
-	default:
-		v.coldUntil = max(v.coldUntil, startedAt+service.ColdFor)
-	}
+	c.recordRun(now, v, now)
 }
 
 // acknowledge updates the flow for what the caller acknowledges, and reports
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -9,16 +9,17 @@
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
-// place chooses the backend server of a new flow, nil if there is none. It
+// place chooses the backend server of a new flow, of which that many copies of the
+// opening packet were sent before, nil if there is none. It
 // prefers warm servers that aren't suspected and weren't tried yet, then
 // suspected ones that weren't tried, then those that were tried, and then cold
 // ones; servers out of reach come last.
-func (c *Core) place(now time.Duration, r directory.Route, f *flow) *server {
+func (c *Core) place(now time.Duration, r directory.Route, f *flow, copies int) *server {
 	servers := c.servers.byService[serviceOf(r, f.key)]
 	c.draw++
 	for _, accept := range [...]func(*server) bool{
 		func(v *server) bool {
-			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
+			return c.withinReach(now, v) && !f.tried(v) && (c.warm(now, v) && !v.observed.suspected(now) || c.acceptsTrial(now, v))
 		},
 		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) },
 		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) },
@@ -27,6 +28,7 @@
 		},
 		func(v *server) bool { return c.warm(now, v) },
 		func(v *server) bool { return c.usable(now, v) && c.acceptsCold(now, v) },
+		func(v *server) bool { return c.acceptsDoubtful(now, v, copies) },
 	} {
 		best := placement.NewBest(c.draw, c.options.Policy)
 		for i, v := range servers {
@@ -50,7 +52,7 @@
 // warm reports whether the backend server may get as many flows as it has slots
 // for.
 func (c *Core) warm(now time.Duration, v *server) bool {
-	return c.usable(now, v) && now >= v.coldUntil
+	return c.usable(now, v) && now >= v.coldUntil && !c.doubtful(now, v)
 }
 
 const (
--- a/pkg/connection/forwarding/reach.go
+++ b/pkg/connection/forwarding/reach.go
@@ -47,6 +47,9 @@
 	// regained says that it came within reach again, and that failures from before
 	// still count against its servers.
 	regained bool
+	// regainedAt is the time at which the directory has to be confirmed until signs from
+	// before no longer count, 0 if they don't.
+	regainedAt time.Duration
 	// askedAt is when other instances were last asked about it while it was lost, asked
 	// how many of them, and answered how many of these answered.
 	askedAt         time.Duration
@@ -63,7 +66,9 @@
 
 // recordSign records a sign of life of a backend server there.
 func (r *reach) recordSign(now time.Duration) {
-	r.regained = r.regained || r.lost
+	if r.lost {
+		r.regained, r.regainedAt = true, now+entryDelay
+	}
 	r.lastSign, r.failures, r.servers, r.lost = now, 0, [2]*server{}, false
 }
 
@@ -84,7 +89,7 @@
 	case r.lost:
 		r.lost = r.lastMessage <= r.lostAt
 		if !r.lost {
-			r.failures, r.servers, r.regained = 0, [2]*server{}, true
+			r.failures, r.servers, r.regained, r.regainedAt = 0, [2]*server{}, true, now
 		}
 	case r.failures > 0 && r.failures+r.others.failures >= lostFailures && (r.servers[1] != nil || r.others.servers > 1) &&
 		now-max(r.lastSign, r.others.lastSign, r.lastMessage) >= lostAfter:
@@ -153,6 +158,7 @@
 // which servers were started anew meanwhile.
 func (c *Core) forgiveFailures(now time.Duration) {
 	for dataCentre, r := range c.reaches {
+		c.settleRegained(now, dataCentre, r)
 		if !r.regained || !c.directoryFresh(now) {
 			continue
 		}
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -22,10 +22,10 @@
 	// coldUntil is when the server has warmed up, and coldSent when this instance
 	// last sent it a new flow before that.
 	coldUntil, coldSent time.Duration
-	// suspectUntil is the time until which the server counts as cold since it may have
-	// been started anew, as this instance or another one of the data centre has seen.
-	suspectUntil time.Duration
-	observed     observations
+	// coldByEntry says that coldUntil is from the entry.
+	coldByEntry bool
+	restart     restart
+	observed    observations
 	// state is the state as of the last event, and silentAt when it last became Silent.
 	state    ServerState
 	silentAt time.Duration
@@ -63,6 +63,8 @@
 			// The server was restarted: its earlier flows are gone.
 			c.flows.removeServer(v)
 			v.observed = observations{}
+			c.settle(now, v, EntryChanged, now)
+			v.restart.runFrom, v.restart.runTo = 0, 0
 		}
 	})
 	c.directory = d
@@ -91,7 +93,7 @@
 			continue
 		}
 		if service, ok := next.Service(v.Service); ok {
-			v.coldUntil = max(v.coldUntil, now+service.ColdFor)
+			v.coldUntil, v.coldByEntry = max(v.coldUntil, now+service.ColdFor), false
 		}
 	}
 }
@@ -110,7 +112,7 @@
 		return nil
 	}
 	if d.Revision != v.Revision || v.missing {
-		v.coldUntil = now + d.ColdLeft
+		v.coldUntil, v.coldByEntry = now+d.ColdLeft, d.ColdLeft > 0
 	}
 	if known && d.StartedMillis != v.StartedMillis {
 		restarted = v
@@ -119,12 +121,6 @@
 	return restarted
 }
 
-// suspectRestart lets the server count as cold until the given time.
-func (v *server) suspectRestart(until time.Duration) {
-	v.suspectUntil = max(v.suspectUntil, until)
-	v.coldUntil = max(v.coldUntil, until)
-}
-
 // index rebuilds the sorted list of servers, and the lists by service of those
 // that may get new flows.
 func (r *registry) index() {
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -44,6 +44,9 @@
 	// data centre it asked.
 	ask    func([]forwarding.Inquiry) int
 	answer func(loads []forwarding.Load, to netip.AddrPort)
+	// notify tells other instances of the data centre of backend servers that may have
+	// been started anew.
+	notify func([]forwarding.Load)
 	// publishedLoads are the core's loads as of the last tick, for the exchange.
 	publishedLoads atomic.Pointer[[]forwarding.Load]
 }
@@ -226,6 +229,8 @@
 			d.core.Asked(now, i.Mark, asked)
 		}
 	}
+	d.sendNotices(now)
+	d.observer.recordRestarts(d.core.RestartEvents())
 	d.observer.recordServerStates(d.core.Events())
 	d.observer.recordReach(d.core.ReachEvents())
 	if d.readiness.setServed(d.core.Served()) {
@@ -236,6 +241,13 @@
 	d.publishedLoads.Store(&loads)
 }
 
+// sendNotices sends what other instances should know at once.
+func (d *decider) sendNotices(now time.Duration) {
+	if loads := d.core.Notices(now); len(loads) > 0 {
+		d.notify(loads)
+	}
+}
+
 // recordArrival records the current time as that of the latest packet and returns
 // it.
 func (d *decider) recordArrival() time.Duration {
@@ -262,6 +274,7 @@
 		return
 	}
 	decision := d.core.Decide(now, s)
+	d.sendNotices(now)
 	id := ""
 	if s.Length > 0 {
 		// A request's header may extend into its second packet, so every packet with
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -67,7 +67,7 @@
 	e.fetcher = newFetcher(o, e.state, h)
 	e.exchange = newExchange(o, e.state, e.decider, e.fetcher, h)
 	e.fetcher.relay = e.exchange.relay
-	e.decider.ask, e.decider.answer = e.exchange.ask, e.exchange.answer
+	e.decider.ask, e.decider.answer, e.decider.notify = e.exchange.ask, e.exchange.answer, e.exchange.notify
 	link := &linkBudget{bytesPerSecond: o.LinkBytesPerSecond}
 	e.replicas = newReplicaServer(o, e.state, link, h.Now)
 	metrics.count("tanagerweir_entry_refused_fetches_total", "Fetches of other instances refused since the link's share was used up.", e.replicas.refused.Load)
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -22,6 +22,8 @@
 	// controlBytesPerSecond is the budget for messages to other instances, which is
 	// the design's figure for all control traffic.
 	controlBytesPerSecond = 3000
+	// periodBytes is the part of that budget for one ExchangePeriod.
+	periodBytes = int(controlBytesPerSecond * ExchangePeriod / time.Second)
 	// maxDatagramBytes is the longest message that is expected; longer datagrams may
 	// be fragmented on the way.
 	maxDatagramBytes = 1400
@@ -41,6 +43,8 @@
 	dataCentre string
 	// announcedRevision is the revision of the replica at the last announcement.
 	announcedRevision atomic.Uint64
+	// noticeBytes counts the bytes of notices in the present ExchangePeriod.
+	noticeBytes atomic.Int64
 }
 
 func newExchange(o Options, s *state, d *decider, f *fetcher, h Host) *exchange {
@@ -103,7 +107,7 @@
 	if !ok {
 		return
 	}
-	limit := int(controlBytesPerSecond * ExchangePeriod.Seconds() / float64(len(datagram)))
+	limit := (periodBytes - int(e.noticeBytes.Swap(0))) / len(datagram)
 	e.sendDatagram(datagram, e.state.periodPeers(max(limit, 1)))
 }
 
@@ -133,6 +137,23 @@
 	e.send(wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true}, []netip.AddrPort{to})
 }
 
+// notify tells instances of this data centre of backend servers that may have been started
+// anew, in the form of an answer that nobody asked for. It takes at most the budget of one
+// period, so that reports leave room for it; the next reports repeat what it says.
+func (e *exchange) notify(loads []forwarding.Load) {
+	datagram, ok := e.encode(wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true})
+	if !ok {
+		return
+	}
+	to := e.state.askedPeers(e.dataCentre)
+	count := min(len(to), (periodBytes-int(e.noticeBytes.Load()))/len(datagram))
+	if count <= 0 {
+		return
+	}
+	e.noticeBytes.Add(int64(count * len(datagram)))
+	e.sendDatagram(datagram, to[:count])
+}
+
 // push announces changes from the store to other instances.
 func (e *exchange) push() { e.announce(e.state.pushTargets()) }
 
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -35,6 +35,7 @@
 	placed       *prometheus.CounterVec
 	answers      *prometheus.HistogramVec
 	serverStates []prometheus.Counter
+	restarts     []prometheus.Counter
 }
 
 func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration) *metrics {
@@ -59,10 +60,16 @@
 	for _, b := range []forwarding.ServerState{forwarding.Answering, forwarding.Suspected, forwarding.Silent} {
 		m.serverStates = append(m.serverStates, beliefs.WithLabelValues(b.String()))
 	}
+	restarts := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tanagerweir_entry_restart_doubts_total", Help: "Backend servers that may have been started anew (Doubted), and how that was settled.",
+	}, []string{"outcome"})
+	for _, r := range forwarding.RestartOutcomes() {
+		m.restarts = append(m.restarts, restarts.WithLabelValues(r.String()))
+	}
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tanagerweir_entry_confirmed_age_seconds", Help: "Time since the configuration was known to be the newest.",
 	}, func() float64 { return confirmedAge().Seconds() })
-	m.registry.MustRegister(packets, m.placed, m.answers, beliefs, age, storeCalls{read: calls, description: prometheus.NewDesc(
+	m.registry.MustRegister(packets, m.placed, m.answers, beliefs, restarts, age, storeCalls{read: calls, description: prometheus.NewDesc(
 		"tanagerweir_entry_store_calls_total", "Calls to the platform's store, by kind.", []string{"kind"}, nil)})
 	return m
 }
--- a/pkg/process/entry/observer.go
+++ b/pkg/process/entry/observer.go
@@ -85,6 +85,20 @@
 	}
 }
 
+// recordRestarts logs and counts which backend servers may have been started anew, and how
+// that was settled.
+func (o *observer) recordRestarts(events []forwarding.RestartEvent) {
+	for _, e := range events {
+		o.metrics.restarts[e.Outcome].Inc()
+		message := "Server: no longer counts as started anew."
+		if e.Outcome == forwarding.Doubted {
+			message = "Server: may have ended and been started anew, gets flows as a cold one."
+		}
+		o.log.Info(message, "Server", e.Server, "Service", e.Service, "DataCentre", e.DataCentre,
+			"Outcome", e.Outcome.String(), "SignAge", e.SignAge, "ConfirmedAge", e.ConfirmedAge)
+	}
+}
+
 // recordReach logs which data centres' backend servers come within reach or leave it.
 func (o *observer) recordReach(events []forwarding.ReachEvent) {
 	for _, e := range events {
