Keep the rank of an instance among those that send to a cold server

Cause: acceptsCold sorted and hashed all registered instances for each cold server and packet, and allocated. Since signs restrict more servers than entries do, this would cost milliseconds a flow where hundreds of servers may have been started anew.

Change: ranks are kept by server until the registered instances change.

--- a/pkg/connection/forwarding/bench_test.go
+++ b/pkg/connection/forwarding/bench_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// A flow of a service whose servers may all have been started anew, with 490 instances.
+func BenchmarkOpeningWithDoubtfulServers(b *testing.B) {
+	d := sized(3800, 40)
+	for n := range 490 {
+		d = d.WithInstance(directory.Instance{Name: fmt.Sprintf("entry-%d", n), DataCentre: near})
+	}
+	c := newCore(d)
+	for n := range 400 {
+		now := time.Duration(n) * 5 * time.Millisecond
+		c.Decide(now, newCaller(routeOf(0)).open(0))
+		if n%20 == 0 {
+			c.Tick(now, maxFlow)
+		}
+	}
+	s := newCaller(routeOf(0)).open(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Decide(2*time.Second, s)
+	}
+}
+
 func BenchmarkKnownMark(b *testing.B) {
 	bySize(b, func(b *testing.B, c *forwarding.Core) {
 		p := newCaller(routeOf(0))
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -158,6 +158,7 @@
 	// have something to tell.
 	restartEvents []RestartEvent
 	noticesDue    bool
+	senders       senders
 }
 
 // New returns a Core without a directory; it drops packets until Adopt.
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -73,19 +71,7 @@
 		return false
 	}
 	senders := int(coldShare * (service.ColdRate*c.options.ColdFactor + c.options.ColdSlack))
-	own := senderRank(c.options.Name, v.ID)
-	for _, i := range c.directory.Instances() {
-		if i.Name != c.options.Name && senderRank(i.Name, v.ID) < own {
-			senders--
-		}
-	}
-	return senders > 0
-}
-
-// senderRank orders the instances for one backend server, in the same way
-// everywhere.
-func senderRank(instance, server string) uint64 {
-	return xxhash.Sum64String(server + "\x00" + instance)
+	return c.senderRank(v) < senders
 }
 
 func (c *Core) candidate(now time.Duration, v *server) placement.Candidate {
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -25,7 +25,10 @@
 	// coldByEntry says that coldUntil is from the entry.
 	coldByEntry bool
 	restart     restart
-	observed    observations
+	// senderRank is this instance's rank among those that send to the server while it is
+	// cold, as of a generation of the registered instances.
+	senderRank, senderGeneration int
+	observed                     observations
 	// state is the state as of the last event, and silentAt when it last became Silent.
 	state    ServerState
 	silentAt time.Duration
@@ -68,6 +71,7 @@
 		}
 	})
 	c.directory = d
+	c.senders.stale = true
 	if changed {
 		c.servers.index()
 	}
