--- a/pkg/connection/forwarding/health.go
+++ b/pkg/connection/forwarding/health.go
@@ -223,9 +223,9 @@
 // server after an ejection.
 func (c *Core) probeRank(id string) int {
 	rank := 0
-	own := senderRank(c.options.Name, id)
+	own := senderOrder(c.options.Name, id)
 	for _, i := range c.directory.Instances() {
-		if i.DataCentre == c.options.DataCentre && i.Name != c.options.Name && senderRank(i.Name, id) < own {
+		if i.DataCentre == c.options.DataCentre && i.Name != c.options.Name && senderOrder(i.Name, id) < own {
 			rank++
 		}
 	}
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -74,7 +74,7 @@
 	e.fetcher = newFetcher(o, e.state, h)
 	e.exchange = newExchange(o, e.state, e.decider, e.fetcher, h)
 	e.fetcher.relay = e.exchange.relay
-	e.decider.ask, e.decider.answer = e.exchange.ask, e.exchange.answer
+	e.decider.ask, e.decider.answer, e.decider.notify = e.exchange.ask, e.exchange.answer, e.exchange.notify
 	metrics.count("tanagerweir_entry_unusable_entries_total", "Entries read from the store that couldn't be used.", e.state.unusable.Load)
 	link := &linkBudget{bytesPerSecond: o.LinkBytesPerSecond}
 	e.replicas = newReplicaServer(o, e.state, link, h.Now)
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -38,6 +38,7 @@
 	// healthStates and healthChanges are nil unless health is observed.
 	healthStates  []prometheus.Gauge
 	healthChanges *prometheus.CounterVec
+	restarts      []prometheus.Counter
 }
 
 func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration) *metrics {
@@ -62,10 +63,16 @@
 	for _, b := range []forwarding.ServerState{forwarding.Answering, forwarding.Suspected, forwarding.Silent} {
 		m.serverStates = append(m.serverStates, beliefs.WithLabelValues(b.String()))
 	}
+	restarts := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tanagerweir_entry_restart_doubts_total", Help: "Backend servers that may have been started anew (Doubted), and how that was settled.",
+	}, []string{"outcome"})
+	for _, r := range forwarding.RestartOutcomes() {
+		m.restarts = append(m.restarts, restarts.WithLabelValues(r.String()))
+	}
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tanagerweir_entry_confirmed_age_seconds", Help: "Time since the configuration was known to be the newest.",
 	}, func() float64 { return confirmedAge().Seconds() })
-	m.registry.MustRegister(packets, m.placed, m.answers, beliefs, age, storeCalls{read: calls, description: prometheus.NewDesc(
+	m.registry.MustRegister(packets, m.placed, m.answers, beliefs, restarts, age, storeCalls{read: calls, description: prometheus.NewDesc(
 		"tanagerweir_entry_store_calls_total", "Calls to the platform's store, by kind.", []string{"kind"}, nil)})
 	return m
 }
