Probe ejected servers by turns, and eject none for one instance's failures

Cause, as the new tests showed: an instance whose link lost packets made others eject healthy servers with one short answer of their own as the second witness; in a crowd a few servers that shed most were ejected; slow servers were ejected as hanging; each of six instances probed a server by itself; old good answers outweighed the failures of a server that stops answering for 3 s; an instance suspected a hanging server for up to 8 s beyond its ejection.

Change: an ejection needs evidence without the instance that saw most failures, none is made while others fail 30 % of their requests, a request hangs only after four times its server's average answer time, instances beyond the second rely on the trials of the first two, an unanswered request counts twice and halves the good answers before it, and trials ignore suspicions. Services are compared in every second tick.

--- a/pkg/connection/capacity/eject.go
+++ b/pkg/connection/capacity/eject.go
@@ -20,8 +20,15 @@
 	// leastMargin is how much larger than the reference a server's share of failures has to
 	// be, plus half of the reference: servers that shed in a crowd differ from each other.
 	leastMargin = 0.2
+	// greatestReference is the share of failures at other servers from which on a fault
+	// counts as common to all, such as a crowd, so that no server is ejected.
+	greatestReference = 0.3
 	// leastFailures is the smallest weight of failures for which a server is ejected.
 	leastFailures = 2
+	// leastConfirmed is the likelihood by the evidence of all instances but the one that
+	// saw most failures: more than that of one short answer, less than that of two requests
+	// without an answer.
+	leastConfirmed = 4.5
 	// leastLikelihood is the logarithm of the likelihood ratio from which on a share of
 	// failures isn't chance: about 1 in 10,000 comparisons of healthy servers exceeds it.
 	// leastLikelihoodAgain is that for a server that was ejected shortly before.
@@ -65,7 +72,7 @@
 }
 
 // Update compares the usable servers of a service and changes their states. Call it
-// for each service once in each 0.1 s.
+// for each service once in each 0.2 s.
 func (c *Core) Update(now time.Duration, service string, servers []Usable, f Fleet) {
 	c.ranking = c.ranking[:0]
 	slots, ejected := 0, 0
@@ -116,7 +123,9 @@
 		}
 		e := v.evidence
 		v.risk = max((e.Failed+priorWeight*reference)/(e.Answered+priorWeight)-reference-riskTolerance, 0)
-		v.likelihood = likelihood(e, reference)
+		if e.Failed >= leastFailures {
+			v.likelihood = likelihood(e, reference)
+		}
 	}
 }
 
@@ -124,7 +133,7 @@
 // failures makes what was seen than the reference does, 0 if the share is too small.
 func likelihood(e Evidence, reference float64) float64 {
 	share := e.share()
-	if e.Failed < leastFailures || share < reference+leastMargin+reference/2 || reference >= 1 {
+	if share < reference+leastMargin+reference/2 || reference >= 1 {
 		return 0
 	}
 	l := e.Failed * math.Log(share/reference)
@@ -180,17 +189,15 @@
 // allowed number.
 func (c *Core) eject(now time.Duration, service string, allowed int, f Fleet) {
 	slices.SortStableFunc(c.ranking, func(a, b ranked) int { return cmp.Compare(b.likelihood, a.likelihood) })
-	sources := min(2, 1+f.Reporting)
 	for _, v := range c.ranking {
-		if v.state >= Probed || v.Slots > allowed {
+		if v.state >= Probed || v.Slots > allowed || v.reference > greatestReference {
 			continue
 		}
 		least := float64(leastLikelihood)
 		if v.ejections > 0 {
 			least = leastLikelihoodAgain
 		}
-		// An instance whose own link is at fault sees failures that no other sees.
-		outlier := v.likelihood >= least && v.sources(now) >= sources
+		outlier := v.likelihood >= least && (f.Reporting == 0 || v.confirmed(now))
 		followed := v.others.ejecting >= leastEjecting && v.others.ejecting > v.others.cleared && v.others.ejectedLeft > 0
 		if !outlier && !followed {
 			continue
@@ -203,6 +210,28 @@
 	}
 }
 
+// trialFailed reports whether a trial of another instance has failed. The first two
+// instances don't rely on a single one, whose own link may be at fault; the others rely on
+// these two.
+func (s *Server) trialFailed() bool {
+	if s.others.ejectedLeft <= time.Millisecond {
+		return false
+	}
+	return s.others.ejecting >= leastEjecting || s.rank >= leastEjecting && s.others.cleared == 0
+}
+
+// confirmed reports whether the server is an outlier also without the instance that saw
+// most of its failures: an instance whose own link is at fault sees failures at servers
+// that others don't.
+func (s *Server) confirmed(now time.Duration) bool {
+	e, own := s.others.evidence.aged(now-s.others.at), s.own.evidence(now)
+	if worst := s.others.worst; worst.Failed > own.Failed {
+		worst = worst.aged(now - s.others.at)
+		e.Answered, e.Failed = e.Answered-worst.Answered+own.Answered, e.Failed-worst.Failed+own.Failed
+	}
+	return likelihood(e, s.reference) >= leastConfirmed
+}
+
 // startEjection ejects the server, for twice as long as the last time.
 func (c *Core) startEjection(now time.Duration, service string, s Usable) {
 	period := c.options.ShortestEjection
@@ -225,8 +254,8 @@
 			v.until = max(v.until, now+min(v.others.ejectedLeft, c.options.LongestEjection))
 		}
 		if now >= v.until {
-			v.limit, v.good, v.trialAt, v.lastEjected = 1, 0, 0, now
-			v.turn = now + min(time.Duration(f.Rank(v.ID))*turnPeriod, c.options.LongestEjection)
+			v.limit, v.good, v.short, v.trials, v.lastEjected, v.rank = 1, 0, 0, 0, now, f.Rank(v.ID)
+			v.turn = now + min(time.Duration(v.rank)*turnPeriod, c.options.LongestEjection)
 			// What was seen before the ejection says nothing about the server now.
 			v.own = counts{}
 			c.setState(now, service, v, Probed)
@@ -235,9 +264,9 @@
 		switch {
 		case v.limit == 0:
 			c.startEjection(now, service, v)
-		case v.limit >= v.Slots:
+		case v.limit > v.Slots:
 			c.setState(now, service, v, Healthy)
-		case now < v.turn && v.others.ejecting >= leastEjecting && v.others.ejectedLeft > time.Millisecond:
+		case now < v.turn && v.trialFailed():
 			v.until = now + min(v.others.ejectedLeft, c.options.LongestEjection)
 			c.setState(now, service, v, Ejected)
 		case v.others.cleared > 0:
--- a/pkg/connection/capacity/evidence.go
+++ b/pkg/connection/capacity/evidence.go
@@ -76,6 +76,9 @@
 const leastWeight = 0.25
 
 func (c *counts) evidence(now time.Duration) Evidence {
+	if c.answered == 0 {
+		return Evidence{}
+	}
 	k := decay(now - c.at)
 	e := Evidence{Answered: k * c.answered, Failed: k * c.failed}
 	if k*c.timed >= leastWeight {
@@ -96,6 +99,8 @@
 // reports is the sum of other instances' reports about a server.
 type reports struct {
 	evidence Evidence
+	// worst is the part of the instance that saw most failures.
+	worst Evidence
 	// at is the time for which the evidence was summed up.
 	at time.Duration
 	// failing is the number of instances that saw failures, ejecting the number of those
@@ -106,7 +111,12 @@
 }
 
 // ClearReports forgets what other instances reported, before it is summed up again.
-func (s *Server) ClearReports(now time.Duration) { s.others = reports{at: now} }
+func (s *Server) ClearReports(now time.Duration) {
+	if s.others.evidence.Answered > 0 || s.others.ejecting > 0 {
+		s.others = reports{}
+	}
+	s.others.at = now
+}
 
 // AddReport adds another instance's report.
 func (s *Server) AddReport(r Report) {
@@ -115,6 +125,9 @@
 	if e.Failed >= leastWeight {
 		s.others.failing++
 	}
+	if e.Failed > s.others.worst.Failed {
+		s.others.worst = e
+	}
 	left := r.EjectedLeft - r.Age
 	switch {
 	case r.EjectedLeft > 0:
@@ -129,7 +142,11 @@
 func (s *Server) Own(now time.Duration) Evidence { return s.own.evidence(now) }
 
 func (s *Server) combined(now time.Duration) Evidence {
-	return s.own.evidence(now).plus(s.others.evidence.aged(now - s.others.at))
+	e := s.own.evidence(now)
+	if s.others.evidence.Answered == 0 {
+		return e
+	}
+	return e.plus(s.others.evidence.aged(now - s.others.at))
 }
 
 // sources returns the number of instances that saw failures of the server.
--- a/pkg/connection/capacity/outcome.go
+++ b/pkg/connection/capacity/outcome.go
@@ -135,3 +135,6 @@
 	}
 	return time.Duration(float64(waited) * r.group.answerTime.seconds / r.answerTime.seconds)
 }
+
+// fast reports whether an answer came much faster than the route's others.
+func (r *Route) fast(waited time.Duration) bool { return waited.Seconds() < r.answerTime.seconds/2 }
--- a/pkg/connection/capacity/server.go
+++ b/pkg/connection/capacity/server.go
@@ -15,12 +15,23 @@
 	// greatestSlowLoad is the largest load, in requests a slot, that slow answers add.
 	// It is the same as for a server in another data centre.
 	greatestSlowLoad = 2
+	// unansweredWeight is how many short answers a request without an answer counts as: it
+	// can't be a good answer that happens to be short, and its caller waits for long.
+	unansweredWeight = 2
+	// staleGood is the part of the good answers so far that a request without an answer
+	// makes obsolete: they came before it was sent. A server that stops answering gets few
+	// requests, as those that it holds count as load, so that older answers would outweigh
+	// its failures for seconds.
+	staleGood = 0.5
+	// trialPreference is the load, in requests a slot, by which a server that is due for a
+	// trial ranks before others, so that it returns even if others are idle.
+	trialPreference = 20
 	// trialTimeout is how long a trial may be without an outcome until the next one. It is
 	// longer than a caller tries to open a flow.
 	trialTimeout = 1500 * time.Millisecond
 	// turnPeriod is the time between the turns of two instances to probe a server: time
 	// for a trial, and for a report of its outcome.
-	turnPeriod = 500 * time.Millisecond
+	turnPeriod = time.Second
 )
 
 // Server is what is known of one server. The zero value is a server without evidence.
@@ -37,11 +48,15 @@
 	// ended.
 	ejections   int
 	lastEjected time.Duration
-	// limit is the number of requests at a time while the server is Probed, and good the
-	// number of good answers since it last changed.
-	limit, good int
-	// trialAt is when the last trial began that has no outcome yet, 0 for none.
+	// limit is the number of requests at a time while the server is Probed, good the number
+	// of good answers since it last changed, and short that of short answers.
+	limit, good, short int
+	// trials is the number of trials without an outcome, and trialAt when the last of them
+	// began.
+	trials  int
 	trialAt time.Duration
+	// rank is this instance's place among those that probe the server.
+	rank int
 	// risk is how much larger the share of failures is than at other servers, slowness
 	// how many times as long answers take, at least 1, and reference the share of failures
 	// at other servers.
@@ -70,7 +85,12 @@
 	s.own.advance(now)
 	s.own.answered++
 	if o != Good {
-		s.recordFailure()
+		s.own.failed++
+		s.short++
+		// Errors come faster than work takes, so a slow one may be a good answer.
+		if s.state == Probed && (s.short > 1 || r.fast(waited)) {
+			s.limit = 0
+		}
 		return
 	}
 	if waited > 0 {
@@ -80,7 +100,7 @@
 	if s.state != Probed {
 		return
 	}
-	s.trialAt = 0
+	s.trials = max(s.trials-1, 0)
 	if s.good++; s.good >= s.limit {
 		s.good, s.limit = 0, 2*s.limit
 	}
@@ -89,28 +109,29 @@
 // RecordFailure records a flow that failed to open, or a request without an answer.
 func (s *Server) RecordFailure(now time.Duration) {
 	s.own.advance(now)
-	s.own.answered++
-	s.recordFailure()
+	s.own.answered -= staleGood * max(s.own.answered-s.own.failed, 0)
+	s.own.answered += unansweredWeight
+	s.own.failed += unansweredWeight
+	if s.state == Probed {
+		s.limit = 0
+	}
 }
 
 // RevokeFailure takes back a failure that was recorded at that time, as the answer came
 // late.
 func (s *Server) RevokeFailure(now, at time.Duration) {
 	s.own.advance(now)
-	k := decay(now - at)
+	k := unansweredWeight * decay(now-at)
 	s.own.answered, s.own.failed = max(s.own.answered-k, 0), max(s.own.failed-k, 0)
 }
 
-func (s *Server) recordFailure() {
-	s.own.failed++
-	if s.state == Probed {
-		s.limit = 0
-	}
-}
-
 // RecordFlow records that a new flow goes to the server.
 func (s *Server) RecordFlow(now time.Duration) {
 	if s.state == Probed {
+		if now-s.trialAt >= trialTimeout {
+			s.trials = 0
+		}
+		s.trials++
 		s.trialAt = now
 	}
 }
@@ -122,7 +143,7 @@
 	case Ejected:
 		return false
 	case Probed:
-		return trialAllowed && now >= s.turn && s.limit > 0 && (s.limit > 1 || s.trialAt == 0 || now-s.trialAt >= trialTimeout)
+		return trialAllowed && now >= s.turn && (s.trials < s.limit || s.limit > 0 && now-s.trialAt >= trialTimeout)
 	}
 	return true
 }
@@ -143,6 +164,9 @@
 
 // Penalty returns the load, in requests a slot, that ranks the server behind better ones.
 func (s *Server) Penalty(repeatable bool) float64 {
+	if s.state == Probed && s.limit == 1 {
+		return -trialPreference
+	}
 	penalty := riskLoad * s.risk
 	if !repeatable {
 		penalty = unrepeatableRiskLoad * s.risk
--- a/pkg/connection/forwarding/health.go
+++ b/pkg/connection/forwarding/health.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -36,12 +35,21 @@
 	// after longestHang, so that servers that hang are found within a few seconds.
 	shortestHang = 400 * time.Millisecond
 	longestHang  = time.Second
+	// A slow server isn't one that hangs: its requests count as failed only after slowHang
+	// times its average answer time, and after longestSlowHang at the latest.
+	slowHang        = 4
+	longestSlowHang = 3 * time.Second
 	// maxHealthLoads bounds the servers in one report with health, at some 36 bytes each, so
 	// that it fits into a datagram.
 	maxHealthLoads = 36
 	// repeatableFor is how long a service counts as one with repeatable requests after the
 	// latest of them.
 	repeatableFor = 2 * time.Second
+	// comparePeriods is the number of ticks between two comparisons of a service's servers,
+	// and retainPeriods that between two searches for routes that are gone. At 3,800
+	// servers, a comparison of all takes a millisecond.
+	comparePeriods = 2
+	retainPeriods  = 100
 	// leastReported is the weight of answers from which on a server is reported.
 	leastReported = 0.5
 )
@@ -66,6 +74,7 @@
 	reporting int
 	deadlines deadlines
 	lastTick  time.Duration
+	ticks     int
 	// repeatableAt is when a caller last sent a repeatable request to a service.
 	repeatableAt map[string]time.Duration
 	// usable is reused by updateHealth.
@@ -156,6 +165,12 @@
 	return !c.health.on() || v.health.Accepts(now, trial)
 }
 
+// suspected reports whether the server gets no new flow since it left flows unanswered. A
+// server that is probed after an ejection gets trials instead.
+func (c *Core) suspected(now time.Duration, v *server) bool {
+	return v.health.State() != capacity.Probed && v.observed.suspected(now)
+}
+
 // reserves reports whether requests of the route go to servers with proven health first:
 // they can't be repeated, and a server of the service may be degraded.
 func (h *health) reserves(service string, r directory.Route) bool {
@@ -191,8 +206,12 @@
 	}
 	h.lastTick = now
 	h.deadlines.expire(now, func(d deadline) { c.checkDeadline(now, d) })
+	h.ticks++
 	fleet := capacity.Fleet{Reporting: h.reporting, Rank: c.probeRank}
-	for _, service := range slices.Sorted(maps.Keys(c.servers.byService)) {
+	for n, service := range c.servers.services {
+		if (n+h.ticks)%comparePeriods != 0 {
+			continue
+		}
 		h.usable = h.usable[:0]
 		for _, v := range c.servers.byService[service] {
 			if c.warm(now, v) {
@@ -201,6 +220,9 @@
 		}
 		h.core.Update(now, service, h.usable, fleet)
 	}
+	if h.ticks%retainPeriods != 0 {
+		return
+	}
 	h.core.Retain(func(endpoint netip.AddrPort) bool {
 		_, ok := c.directory.Route(endpoint)
 		return ok
@@ -212,6 +234,10 @@
 	switch {
 	case f == nil || f.server == nil:
 	case d.hang && f.waiting && f.lastSent == d.at && f.answer.failedAt == 0:
+		if due := d.at + min(slowHang*f.server.health.Own(now).AnswerTime, longestSlowHang); due > now {
+			c.health.deadlines.add(now, due, d)
+			return
+		}
 		f.answer.failedAt = now
 		f.server.health.RecordFailure(now)
 	case !d.hang && f.answer.pending && f.answer.at == d.at:
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -23,7 +23,7 @@
 			return c.proven(v) && c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
 		},
 		func(v *server) bool {
-			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now) && c.accepts(now, trial, v)
+			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !c.suspected(now, v) && c.accepts(now, trial, v)
 		},
 		func(v *server) bool {
 			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && c.accepts(now, trial, v)
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -40,6 +41,8 @@
 	// sorted holds all servers ordered by identifier, so that the same inputs give
 	// the same decisions, and events in the same order.
 	sorted []*server
+	// services are the names of the services with servers, sorted.
+	services []string
 }
 
 func newRegistry() registry {
@@ -141,6 +144,7 @@
 			r.byService[v.Service] = append(r.byService[v.Service], v)
 		}
 	}
+	r.services = slices.Sorted(maps.Keys(r.byService))
 }
 
 // expire removes backend servers that have been missing for longer than maxFlow,
