--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -163,6 +163,11 @@
 	unservedAt  time.Duration
 	reachEvents []ReachEvent
 	health      health
+	// restartEvents wait for a call of RestartEvents, and noticesDue says that Notices may
+	// have something to tell.
+	restartEvents []RestartEvent
+	noticesDue    bool
+	senders       senders
 }
 
 // New returns a Core without a directory; it drops packets until Adopt.
@@ -274,7 +279,10 @@
 	c.checkOpenings(now)
 	c.askFor(now, route)
 	f := c.openFlow(now, s)
-	v := c.place(now, route, f)
+	v := c.place(now, route, f, s.Copy())
+	if v == nil && c.usableSoon(now, route, f, s.Copy()) {
+		return Decision{Verdict: Drop, Reason: NoServer, Route: route.Name}
+	}
 	if v == nil {
 		return Decision{Verdict: Reset, Reason: NoServer, Route: route.Name}
 	}
@@ -325,6 +333,7 @@
 	}
 	c.combineReports(now)
 	c.updateHealth(now)
+	c.settleSigns(now)
 	for _, v := range c.servers.sorted {
 		c.updateState(now, v)
 	}
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -3,17 +3,16 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
-// place chooses the backend server of a new flow, nil if there is none. It
+// place chooses the backend server of a new flow, of which that many copies of the
+// opening packet were sent before, nil if there is none. It
 // prefers warm servers that aren't suspected and weren't tried yet, then
 // suspected ones that weren't tried, then those that were tried, and then cold
 // ones; servers out of reach come last.
-func (c *Core) place(now time.Duration, r directory.Route, f *flow) *server {
+func (c *Core) place(now time.Duration, r directory.Route, f *flow, copies int) *server {
 	service := serviceOf(r, f.key)
 	servers, trial := c.servers.byService[service], c.health.allowsTrial(now, service, r)
 	c.draw++
@@ -23,7 +22,7 @@
 			return c.proven(v) && c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
 		},
 		func(v *server) bool {
-			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now) && c.accepts(now, trial, v)
+			return c.withinReach(now, v) && !f.tried(v) && (c.warm(now, v) && !c.suspected(now, v) && c.accepts(now, trial, v) || c.acceptsTrial(now, v))
 		},
 		func(v *server) bool {
 			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && c.accepts(now, trial, v)
@@ -34,6 +33,7 @@
 		},
 		func(v *server) bool { return c.warm(now, v) },
 		func(v *server) bool { return c.usable(now, v) && c.acceptsCold(now, v) },
+		func(v *server) bool { return c.acceptsDoubtful(now, v, copies) },
 	} {
 		if pass == 0 && !reserve {
 			continue
@@ -60,7 +60,7 @@
 // warm reports whether the backend server may get as many flows as it has slots
 // for.
 func (c *Core) warm(now time.Duration, v *server) bool {
-	return c.usable(now, v) && now >= v.coldUntil
+	return c.usable(now, v) && now >= v.coldUntil && !c.doubtful(now, v)
 }
 
 const (
@@ -81,19 +81,7 @@
 		return false
 	}
 	senders := int(coldShare * (service.ColdRate*c.options.ColdFactor + c.options.ColdSlack))
-	own := senderRank(c.options.Name, v.ID)
-	for _, i := range c.directory.Instances() {
-		if i.Name != c.options.Name && senderRank(i.Name, v.ID) < own {
-			senders--
-		}
-	}
-	return senders > 0
-}
-
-// senderRank orders the instances for one backend server, in the same way
-// everywhere.
-func senderRank(instance, server string) uint64 {
-	return xxhash.Sum64String(server + "\x00" + instance)
+	return c.senderRank(v) < senders
 }
 
 // running returns the estimated number of requests that run or wait at the server.
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -23,11 +24,14 @@
 	// coldUntil is when the server has warmed up, and coldSent when this instance
 	// last sent it a new flow before that.
 	coldUntil, coldSent time.Duration
-	// suspectUntil is the time until which the server counts as cold since it may have
-	// been started anew, as this instance or another one of the data centre has seen.
-	suspectUntil time.Duration
-	observed     observations
-	health       capacity.Server
+	// coldByEntry says that coldUntil is from the entry.
+	coldByEntry bool
+	restart     restart
+	// senderRank is this instance's rank among those that send to the server while it is
+	// cold, as of a generation of the registered instances.
+	senderRank, senderGeneration int
+	observed                     observations
+	health                       capacity.Server
 	// state is the state as of the last event, and silentAt when it last became Silent.
 	state    ServerState
 	silentAt time.Duration
@@ -46,6 +50,8 @@
 	// sorted holds all servers ordered by identifier, so that the same inputs give
 	// the same decisions, and events in the same order.
 	sorted []*server
+	// services are the names of the services with servers, sorted.
+	services []string
 }
 
 func newRegistry() registry {
@@ -72,9 +78,12 @@
 			// The server was restarted: its earlier flows are gone.
 			c.flows.removeServer(v)
 			v.observed, v.health = observations{}, capacity.Server{}
+			c.settle(now, v, EntryChanged, now)
+			v.restart.runFrom, v.restart.runTo = 0, 0
 		}
 	})
 	c.directory = d
+	c.senders.stale = true
 	if changed {
 		c.servers.index()
 	}
@@ -101,7 +110,7 @@
 			continue
 		}
 		if service, ok := next.Service(v.Service); ok {
-			v.coldUntil = max(v.coldUntil, now+service.ColdFor)
+			v.coldUntil, v.coldByEntry = max(v.coldUntil, now+service.ColdFor), false
 		}
 	}
 }
@@ -120,7 +129,7 @@
 		return nil
 	}
 	if d.Revision != v.Revision || d.Era != v.Era || v.missing {
-		v.coldUntil = now + d.ColdLeft
+		v.coldUntil, v.coldByEntry = now+d.ColdLeft, d.ColdLeft > 0
 	}
 	if known && d.StartedMillis != v.StartedMillis {
 		restarted = v
@@ -129,12 +138,6 @@
 	return restarted
 }
 
-// suspectRestart lets the server count as cold until the given time.
-func (v *server) suspectRestart(until time.Duration) {
-	v.suspectUntil = max(v.suspectUntil, until)
-	v.coldUntil = max(v.coldUntil, until)
-}
-
 // index rebuilds the sorted list of servers, and the lists by service of those
 // that may get new flows.
 func (r *registry) index() {
@@ -149,6 +152,7 @@
 			r.byService[v.Service] = append(r.byService[v.Service], v)
 		}
 	}
+	r.services = slices.Sorted(maps.Keys(r.byService))
 }
 
 // expire removes backend servers that have been missing for longer than maxFlow,
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -22,6 +22,8 @@
 	// controlBytesPerSecond is the budget for messages to other instances, which is
 	// the design's figure for all control traffic.
 	controlBytesPerSecond = 3000
+	// periodBytes is the part of that budget for one ExchangePeriod.
+	periodBytes = int(controlBytesPerSecond * ExchangePeriod / time.Second)
 	// maxDatagramBytes is the longest message that is expected; longer datagrams may
 	// be fragmented on the way.
 	maxDatagramBytes = 1400
@@ -47,6 +49,8 @@
 	saved int
 	// health says that they do.
 	health bool
+	// noticeBytes counts the bytes of notices in the present ExchangePeriod.
+	noticeBytes atomic.Int64
 }
 
 func newExchange(o Options, s *state, d *decider, f *fetcher, h Host) *exchange {
@@ -112,12 +116,13 @@
 	if !ok {
 		return
 	}
-	limit := int(controlBytesPerSecond * ExchangePeriod.Seconds() / float64(len(datagram)))
+	notices := int(e.noticeBytes.Swap(0))
+	limit := (periodBytes - notices) / len(datagram)
 	if !e.health || m.Hello.Following {
 		e.sendDatagram(datagram, e.state.periodPeers(max(limit, 1)))
 		return
 	}
-	if limit = e.affordable(len(datagram)); limit == 0 {
+	if limit = e.affordable(len(datagram), notices); limit == 0 {
 		// Other data centres still have to hear of this instance.
 		e.send(wire.Message{Hello: m.Hello}, e.state.periodPeers(0))
 		return
@@ -125,13 +130,12 @@
 	e.sendDatagram(datagram, e.state.periodPeers(limit))
 }
 
-// affordable adds a period's budget to what is left of the last one's, and returns how many
+// affordable adds a period's budget, less the bytes of notices, to what is left of the last one's, and returns how many
 // messages of that length it pays for, which it takes off. Reports with health fill a
 // datagram, which is more than a period's budget.
-func (e *exchange) affordable(length int) int {
-	const period = controlBytesPerSecond * ExchangePeriod / time.Second
-	e.saved = min(e.saved+int(period), max(length, int(period)))
-	n := e.saved / length
+func (e *exchange) affordable(length, notices int) int {
+	e.saved = min(e.saved+periodBytes-notices, max(length, periodBytes))
+	n := max(e.saved/length, 0)
 	e.saved -= n * length
 	return n
 }
@@ -162,6 +166,23 @@
 	e.send(wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true}, []netip.AddrPort{to})
 }
 
+// notify tells instances of this data centre of backend servers that may have been started
+// anew, in the form of an answer that nobody asked for. It takes at most the budget of one
+// period, so that reports leave room for it; the next reports repeat what it says.
+func (e *exchange) notify(loads []forwarding.Load) {
+	datagram, ok := e.encode(wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true})
+	if !ok {
+		return
+	}
+	to := e.state.askedPeers(e.dataCentre)
+	count := min(len(to), (periodBytes-int(e.noticeBytes.Load()))/len(datagram))
+	if count <= 0 {
+		return
+	}
+	e.noticeBytes.Add(int64(count * len(datagram)))
+	e.sendDatagram(datagram, to[:count])
+}
+
 // push announces changes from the store to other instances.
 func (e *exchange) push() { e.announce(e.state.pushTargets()) }
 
