Compare the health of servers that may have been started anew, too

Cause: a server whose open flows go unanswered counts as possibly restarted, and such servers weren't compared with the others.

Change: only servers that are cold by their entry are left out of the comparison, and a trial needs the server's health to allow it. TestDegradedServersLoseFewRequests fails without, and passes now.

--- a/pkg/connection/forwarding/health.go
+++ b/pkg/connection/forwarding/health.go
@@ -214,7 +214,7 @@
 		}
 		h.usable = h.usable[:0]
 		for _, v := range c.servers.byService[service] {
-			if c.warm(now, v) {
+			if c.usable(now, v) && now >= v.coldUntil {
 				h.usable = append(h.usable, capacity.Usable{Server: &v.health, ID: v.ID, Slots: v.Slots})
 			}
 		}
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -22,7 +22,8 @@
 			return c.proven(v) && c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
 		},
 		func(v *server) bool {
-			return c.withinReach(now, v) && !f.tried(v) && (c.warm(now, v) && !c.suspected(now, v) && c.accepts(now, trial, v) || c.acceptsTrial(now, v))
+			return c.withinReach(now, v) && !f.tried(v) && c.accepts(now, trial, v) &&
+				(c.warm(now, v) && !c.suspected(now, v) || c.acceptsTrial(now, v))
 		},
 		func(v *server) bool {
 			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && c.accepts(now, trial, v)
