Forward the packets that were received before a planned stop ends

A planned stop that ended while packets still arrived, as at the end of its grace, closed the sockets at once: packets in the socket's buffer, in the receiver's ring and in the queue for the link were lost, although their senders had no reason to send them elsewhere.

Stop now drains: the receiver reads what waits in the socket, the decider handles the ring, and the pacer sends its queue, for at most 1 s of the 1.5 s that are left.

The stop ends in time while packets arrive without end. Packets that arrive between the last read and the closing of the socket are still lost; their senders repeat them.

--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -119,6 +119,9 @@
 type Instance struct {
 	options Options
 	engine  *Engine
+	sockets *sockets
+	// decided is closed when the decider has handled all packets that were received.
+	decided chan struct{}
 	cancel  context.CancelFunc
 	closers []func()
 	running sync.WaitGroup
@@ -128,7 +131,7 @@
 // drain and returns once its goroutines have ended; Stop drains it first.
 func New(o Options) (*Instance, func(), error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &Instance{options: o, cancel: cancel}
+	i := &Instance{options: o, cancel: cancel, decided: make(chan struct{})}
 	if err := i.open(ctx); err != nil {
 		i.close()
 		return nil, nil, err
@@ -142,6 +145,7 @@
 	if err != nil {
 		return err
 	}
+	i.sockets = sockets
 	i.closers = append(i.closers, sockets.close)
 	engine, err := NewEngine(i.options, sockets)
 	if err != nil {
@@ -152,7 +156,10 @@
 	if err := i.serve(); err != nil {
 		return err
 	}
-	i.start(sockets.receiver.run, sockets.pacer.run, func() { sockets.run(engine.exchange.receive) }, func() { engine.decider.run(ctx, sockets.receiver) })
+	i.start(sockets.receiver.run, sockets.pacer.run, func() { sockets.run(engine.exchange.receive) }, func() {
+		defer close(i.decided)
+		engine.decider.run(ctx, sockets.receiver)
+	})
 	for _, run := range []func(context.Context){engine.follower.run, engine.early.run, engine.exchange.run, engine.fetcher.run, engine.registrar.run} {
 		i.start(func() { run(ctx) })
 	}
--- a/pkg/process/entry/receiver.go
+++ b/pkg/process/entry/receiver.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/net/ipv4"
@@ -49,6 +50,8 @@
 	// started is closed once packets may be read.
 	started   chan struct{}
 	startOnce sync.Once
+	// drainUntil is set once the socket is drained: the latest time of that.
+	drainUntil atomic.Pointer[time.Time]
 }
 
 func newReceiver(o Options) (*receiver, error) {
@@ -75,12 +78,13 @@
 // instance takes to get the configuration.
 func (r *receiver) start() { r.startOnce.Do(func() { close(r.started) }) }
 
-// run reads packets until the socket is closed. While no batch is free, packets stay
-// in the socket's buffer, and the kernel drops those that don't fit.
+// run reads packets until the socket is closed or drained. While no batch is free, packets
+// stay in the socket's buffer, and the kernel drops those that don't fit.
 func (r *receiver) run() {
 	defer close(r.full)
 	<-r.started
 	for b := range r.free {
+		draining := r.draining()
 		count, err := r.reader.ReadBatch(b.messages, 0)
 		if r.closed.Load() {
 			return
@@ -90,6 +94,9 @@
 		}
 		b.count = count
 		r.full <- b
+		if draining && (err != nil || time.Now().After(*r.drainUntil.Load())) {
+			return
+		}
 	}
 }
 
--- a/pkg/process/entry/stop.go
+++ b/pkg/process/entry/stop.go
@@ -15,7 +15,7 @@
 	// quietPeriod is how long no packet may arrive before the instance ends.
 	quietPeriod = 300 * time.Millisecond
 	// stopReserve is the part of the grace time that is left when the instance ends
-	// although packets still arrive.
+	// although packets still arrive. Of it drainLimit is for those that wait.
 	stopReserve = 1500 * time.Millisecond
 	// stopPoll is how often a stopping instance checks whether it may end.
 	stopPoll = 50 * time.Millisecond
@@ -23,9 +23,13 @@
 
 // Stop drains the instance: its readiness probe fails, so that routers send new
 // packets elsewhere, while it forwards the packets that still arrive. It returns
-// when none arrive any more, and at the latest shortly before grace is over. Flows
+// when none arrive any more, and at the latest shortly before grace is over, once those
+// that were received are forwarded. Flows
 // continue at other instances, which find their backend servers by the marks.
-func (i *Instance) Stop(grace time.Duration) { i.engine.Stop(context.Background(), grace) }
+func (i *Instance) Stop(grace time.Duration) {
+	i.engine.Stop(context.Background(), grace)
+	i.drain(context.Background())
+}
 
 // Stop drains as Instance.Stop does; it returns early if the context ends.
 func (e *Engine) Stop(ctx context.Context, grace time.Duration) {
