Tell late packets of an earlier flow on a used port apart

Callers use ports again, and packets may be late. That a late packet reaches the server of the next flow, which might answer the wrong caller, was ruled out by tests: each packet goes by its own mark, also after the idle timeout and where another server has the address, and packets that wait for the link aren't mixed up.

Two faults were found. A late copy of an opening packet whose flow was open already was placed again, at another server if that was better, or reset if none was usable; the record then counted the flow as not open. It goes to the server of the flow now.

A late opening packet at an instance that doesn't know the open flow is still placed or reset.

--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -33,6 +33,8 @@
 	// lastSent is when the last opening packet or the last request was sent.
 	tries    [maxTries]*server
 	lastSent time.Duration
+	// opening is the sequence number of the opening packets.
+	opening uint32
 	// server is the backend server at which the flow is open, nil while it opens.
 	server     *server
 	lastPacket time.Duration
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -252,6 +252,9 @@
 	if c.directory.Version() == 0 {
 		return Decision{Verdict: Drop, Reason: Unsynchronised}
 	}
+	if v := c.openedBefore(s); v != nil {
+		return v.decision(Forward, ByMark)
+	}
 	route, ok := c.directory.Route(s.Flow.Route)
 	if !ok && !c.directoryFresh(now) {
 		// A newer configuration may have the route; the caller sends copies of the
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -187,6 +187,7 @@
 		}
 		f.countLoad(-1)
 	}
+	f.opening = s.Sequence
 	return f
 }
 
@@ -271,7 +272,7 @@
 // established updates the records for the first packet of a flow after its
 // opening.
 func (c *Core) established(now time.Duration, s segment.Segment, f *flow, v *server) {
-	openedHere := f.lastTried() != nil
+	openedHere := f.lastTried() != nil && s.Sequence-f.opening <= maxFirstSequence
 	f.countLoad(-1)
 	f.server, f.waiting = v, false
 	f.sentEnd, f.acknowledged = s.Sequence, s.Acknowledged
