Add the admission core: which openings may go to servers in a shortage

Cause: while callers ask for more than a service's servers carry, all queues are full, urgent requests are shed like the others, and each retry costs a server an opening.

Ruled out: following each window's rate of answers alone, as levels of instances then drift apart by the noise of some 10 answers a window; limits on concurrency by others' reports, as these are up to a second old; counting refused attempts as demand, as callers make up to three.

Change: pkg/connection/admission measures the queueing delay against a learnt baseline, admits the most urgent classes first at about the rate of answers, selects callers by a moving window of a hash, and combines its view with others' reports. It does no I/O and isn't called by forwarding yet.

Not reached: urgent requests of the first 0.1 s are lost in part, as are some when half of the servers leave; attempts at servers exceed 1.1 in five crowds; some refusals occur later than a second after a crowd.

--- /dev/null
+++ b/pkg/connection/admission/play_test.go
@@ -0,0 +1,400 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
+)
+
+// The played deployment is a quarter of one with 240 slots and 8,000 requests a second,
+// in three data centres.
+const (
+	centres, instancesEach, serversEach = 3, 6, 10
+	slots, queue                        = 2, 8
+	work                                = 30 * time.Millisecond
+	// capacity is in requests a second.
+	capacity = float64(centres*serversEach*slots) / (float64(work) / float64(time.Second))
+	toCaller = 3500 * time.Microsecond
+	toServer = 500 * time.Microsecond
+	tick     = 100 * time.Millisecond
+	service  = "board"
+	attempts = 3
+)
+
+var routes = []netip.AddrPort{netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.1:8080")}
+
+// design is how the instances decide.
+type design int
+
+const (
+	product design = iota
+	// present admits everything, as before this package.
+	present
+	// known knows each server's queue, and rejects what would wait for too long.
+	known
+)
+
+// load is the load and the faults of one run.
+type load struct {
+	design design
+	seed   uint64
+	// factor is the load in capacities from crowdFrom to crowdTo, and usual that of the
+	// rest.
+	factor, usual float64
+	// urgent is the part of the requests that are urgent.
+	urgent float64
+	// firstWeight is the part of the requests that the first instance gets, 0 for an
+	// even one.
+	firstWeight float64
+	// silent is the part of the openings that full servers leave unanswered.
+	silent float64
+	// target is that of both routes.
+	target time.Duration
+	// flags unset good for short error responses.
+	flags bool
+	// leave is how many servers leave in the middle, and stop how many instances.
+	leave, stop int
+	// reports is the part of the reports between instances that arrive.
+	reports float64
+}
+
+const (
+	crowdFrom, crowdTo, playEnd = 3 * time.Second, 8 * time.Second, 11 * time.Second
+	middle                      = (crowdFrom + crowdTo) / 2
+)
+
+// figures are what came of the requests of the crowd.
+type figures struct {
+	asked, served, onTime             int
+	urgentAsked, urgentOnTime         int
+	atServers                         int
+	refusedBefore, refusedAfterSecond int
+	levels                            []float64
+}
+
+type backend struct {
+	centre, running int
+	waiting         []*request
+	gone            bool
+	// expected is the number of requests there or on the way.
+	expected int
+	average  float64
+}
+
+type node struct {
+	centre  int
+	core    *admission.Core
+	running []int
+	average []float64
+	stopped bool
+}
+
+type request struct {
+	started  time.Duration
+	centre   int
+	class    int
+	caller   netip.Addr
+	attempts int
+	node     *node
+	at       int
+	sent     time.Duration
+	copies   int
+	ended    bool
+	counted  bool
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// player plays a load against instances and servers.
+type player struct {
+	load
+	figures
+	random  *rand.Rand
+	now     time.Duration
+	queue   events
+	order   int
+	servers []*backend
+	nodes   []*node
+}
+
+func (p *player) after(d time.Duration, run func()) {
+	p.order++
+	heap.Push(&p.queue, event{at: p.now + d, order: p.order, run: run})
+}
+
+// play runs the load and returns its figures.
+func play(l load) figures {
+	p := &player{load: l, random: rand.New(rand.NewPCG(l.seed, 0))}
+	for i := range centres * serversEach {
+		p.servers = append(p.servers, &backend{centre: i % centres})
+	}
+	for i := range centres * instancesEach {
+		core := admission.New(admission.Options{})
+		core.Configure([]admission.Route{
+			{Service: service, Endpoint: routes[0], Target: p.target},
+			{Service: service, Endpoint: routes[1], Target: p.target, Priority: 1},
+		})
+		p.nodes = append(p.nodes, &node{
+			centre: i % centres, core: core, running: make([]int, len(p.servers)), average: make([]float64, len(p.servers)),
+		})
+	}
+	for i, n := range p.nodes {
+		p.after(time.Duration(i)*tick/time.Duration(len(p.nodes)), func() { p.tick(n) })
+	}
+	p.after(middle, func() {
+		for _, v := range p.servers[:l.leave] {
+			v.gone = true
+		}
+		for _, n := range p.nodes[:l.stop] {
+			n.stopped = true
+		}
+	})
+	p.arrive()
+	for p.queue.Len() > 0 && p.now < playEnd {
+		e := heap.Pop(&p.queue).(event)
+		p.now = e.at
+		e.run()
+	}
+	return p.figures
+}
+
+func (p *player) inCrowd(at time.Duration) bool { return at >= crowdFrom && at < crowdTo }
+
+func (p *player) arrive() {
+	rate := p.usual * capacity
+	if p.inCrowd(p.now) {
+		rate = p.factor * capacity
+	}
+	p.after(time.Duration(p.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		r := &request{started: p.now, centre: p.random.IntN(centres), class: 1, caller: callerOf(p.random.IntN(20000))}
+		if p.random.Float64() < p.urgent {
+			r.class = 0
+		}
+		if r.counted = p.inCrowd(p.now); r.counted {
+			p.asked++
+			if r.class == 0 {
+				p.urgentAsked++
+			}
+		}
+		p.attempt(r)
+		p.arrive()
+	})
+}
+
+func callerOf(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)})
+}
+
+func (p *player) attempt(r *request) {
+	if r.attempts == attempts || r.ended {
+		return
+	}
+	r.attempts++
+	r.copies = 0
+	if p.random.Float64() < p.firstWeight {
+		r.node = p.nodes[0]
+	} else {
+		for r.node = nil; r.node == nil || r.node.stopped || r.node.centre != r.centre; {
+			r.node = p.nodes[p.random.IntN(len(p.nodes))]
+		}
+	}
+	p.after(toCaller, func() { p.open(r) })
+}
+
+// open handles an opening packet at its instance.
+func (p *player) open(r *request) {
+	switch p.design {
+	case product:
+		if !r.node.core.Admit(p.now, service, routes[r.class], r.caller) {
+			p.reject(r)
+			return
+		}
+	case known:
+		least := math.Inf(1)
+		for _, v := range p.servers {
+			if !v.gone {
+				least = min(least, float64(v.expected))
+			}
+		}
+		if least >= slots+queue || r.class > 0 && least >= 3*slots {
+			p.reject(r)
+			return
+		}
+	case present:
+	}
+	p.place(r)
+}
+
+func (p *player) reject(r *request) {
+	if !r.counted && p.now < crowdFrom {
+		p.refusedBefore++
+	}
+	if p.now > crowdTo+time.Second {
+		p.refusedAfterSecond++
+	}
+	p.after(toCaller, func() { p.attempt(r) })
+}
+
+// place sends an opening packet to a server, and the request if it accepts it.
+func (p *player) place(r *request) {
+	best := placement.NewBest(p.random.Uint64(), placement.Score)
+	for i, v := range p.servers {
+		if v.gone {
+			continue
+		}
+		others := max(v.average-r.node.average[i], 0)
+		if p.design == known {
+			others = float64(v.expected - r.node.running[i])
+		}
+		best.Offer(i, placement.Candidate{Slots: slots, Running: float64(r.node.running[i]) + others, Local: v.centre == r.node.centre})
+	}
+	r.at, _ = best.Choice()
+	v, n, at := p.servers[r.at], r.node, r.at
+	n.running[at]++
+	v.expected++
+	if r.counted {
+		p.atServers++
+	}
+	full := v.running+len(v.waiting) >= slots+queue
+	if v.gone || full && p.random.Float64() < p.silent {
+		p.after(tick, func() {
+			n.running[at]--
+			v.expected--
+			n.core.Unopened(p.now, service)
+		})
+		p.after([]time.Duration{200, 400, 800}[min(r.copies, 2)]*time.Millisecond, func() {
+			if r.copies++; r.copies == 3 {
+				p.attempt(r)
+			} else {
+				p.place(r)
+			}
+		})
+		return
+	}
+	p.after(2*(toCaller+toServer), func() { p.send(r, v, n, at) })
+}
+
+// send sends the request over an open flow; the instance sees it first.
+func (p *player) send(r *request, v *backend, n *node, at int) {
+	r.sent = p.now
+	n.core.Began(service)
+	p.after(toServer, func() {
+		switch {
+		case v.running < slots:
+			v.running++
+			p.run(r, v, n, at)
+		case len(v.waiting) < queue:
+			v.waiting = append(v.waiting, r)
+		default:
+			p.answer(r, n, at, false)
+		}
+	})
+}
+
+// workSpread is the standard deviation of the logarithm of the work.
+const workSpread = 0.47
+
+func (p *player) run(r *request, v *backend, n *node, at int) {
+	took := time.Duration(float64(work) * math.Exp(workSpread*p.random.NormFloat64()-workSpread*workSpread/2))
+	p.after(took, func() {
+		p.answer(r, n, at, true)
+		if len(v.waiting) == 0 {
+			v.running--
+			return
+		}
+		next := v.waiting[0]
+		v.waiting = v.waiting[1:]
+		p.run(next, v, next.node, at)
+	})
+}
+
+func (p *player) answer(r *request, n *node, at int, good bool) {
+	p.after(toCaller, func() {
+		if !good {
+			p.attempt(r)
+		} else if !r.ended {
+			r.ended = true
+			p.record(r)
+		}
+	})
+	p.after(2*toCaller, func() {
+		n.running[at]--
+		p.servers[at].expected--
+		n.core.Answered(p.now, service, routes[r.class], p.now-r.sent, good || !p.flags)
+	})
+}
+
+func (p *player) record(r *request) {
+	if !r.counted {
+		return
+	}
+	p.served++
+	if p.now-r.started > p.target {
+		return
+	}
+	p.onTime++
+	if r.class == 0 {
+		p.urgentOnTime++
+	}
+}
+
+// tick does an instance's periodic work, and sends a report to one other instance of the
+// data centre about three times a second.
+func (p *player) tick(n *node) {
+	sum := 0.0
+	for i, v := range p.servers {
+		n.average[i] += 0.2 * (float64(n.running[i]) - n.average[i])
+		total := float64(v.running + len(v.waiting))
+		v.average += 0.2 / float64(len(p.nodes)) * (total - v.average)
+		sum += v.average
+	}
+	n.core.SetLoad(service, float64(len(p.servers)*slots), sum)
+	n.core.Tick(p.now)
+	if to := p.nodes[p.random.IntN(len(p.nodes))]; p.reports > p.random.Float64() && to.centre == n.centre && to != n {
+		to.core.Receive(p.now, n.core.Pressures())
+	}
+	if p.now > crowdTo-tick && p.now <= crowdTo {
+		for _, r := range n.core.Pressures() {
+			p.levels = append(p.levels, r.Level)
+		}
+	}
+	p.after(tick, func() { p.tick(n) })
+}
+
+// String returns the figures in one line.
+func (f figures) String() string {
+	return fmt.Sprintf("goodput %.3f, urgent on time %d of %d, attempts a served one %.3f, refused before %d and 1 s after %d, levels %.2f",
+		f.goodput(), f.urgentOnTime, f.urgentAsked, f.attempts(), f.refusedBefore, f.refusedAfterSecond, f.levels)
+}
+
+// goodput returns the answers on time to the crowd's requests, in capacities.
+func (f figures) goodput() float64 {
+	return float64(f.onTime) / (crowdTo - crowdFrom).Seconds() / capacity
+}
+
+// attempts returns the attempts at servers for each request that was served.
+func (f figures) attempts() float64 { return float64(f.atServers) / float64(max(f.served, 1)) }
--- /dev/null
+++ b/pkg/connection/admission/pressure.go
@@ -0,0 +1,88 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// pressureHalfLife is the age at which another instance's report counts half: a
+	// full queue of 8 requests at 2 slots drains in some 120 ms.
+	pressureHalfLife = 300 * time.Millisecond
+	// pressureMaxAge is how long another instance's report counts.
+	pressureMaxAge = 3 * time.Second
+	// levelWeight is how far one report moves the own level towards the sender's, if
+	// both instances have the same number of answers. An instance gets some three
+	// reports a second, so that levels converge within a few seconds.
+	levelWeight = 0.3
+)
+
+// Pressure is what an instance observes of a service that is short of capacity.
+type Pressure struct {
+	// Service is the hash of the service's name.
+	Service uint32
+	// Asked and Admitted are new flows a second.
+	Asked, Admitted float64
+	// Wait is the queueing delay that the number of Answers showed lately.
+	Wait    time.Duration
+	Answers int
+	// Level is the fraction of the demand, from the most urgent on, that is admitted.
+	Level float64
+}
+
+// hashOf returns the number that stands for a service in a Pressure.
+func hashOf(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+
+// peers is the sum of other instances' reports about a service, each with a weight that
+// halves in each pressureHalfLife.
+type peers struct {
+	updated       time.Duration
+	answers, wait float64
+}
+
+func (p *peers) age(now time.Duration) {
+	if now > p.updated {
+		factor := math.Exp2(-float64(now-p.updated) / float64(pressureHalfLife))
+		if now-p.updated > pressureMaxAge {
+			factor = 0
+		}
+		p.answers, p.wait = p.answers*factor, p.wait*factor
+		p.updated = now
+	}
+}
+
+// Pressures returns what to report of the services that are short.
+func (c *Core) Pressures() []Pressure {
+	var pressures []Pressure
+	for _, s := range c.sorted {
+		if s.short {
+			pressures = append(pressures, Pressure{
+				Service: s.hash, Asked: s.askedRate, Admitted: s.admittedRate, Wait: s.wait, Answers: s.samples, Level: s.level(),
+			})
+		}
+	}
+	return pressures
+}
+
+// Receive applies the report of another instance of the data centre.
+func (c *Core) Receive(now time.Duration, pressures []Pressure) {
+	for _, p := range pressures {
+		if s, ok := c.byHash[p.Service]; ok && p.Answers > 0 {
+			s.receive(now, p)
+		}
+	}
+}
+
+func (s *service) receive(now time.Duration, p Pressure) {
+	s.peers.age(now)
+	s.peers.answers += float64(p.Answers)
+	s.peers.wait += float64(p.Answers) * p.Wait.Seconds()
+	level := s.level()
+	if !s.short || p.Level <= 0 || level <= 0 {
+		return
+	}
+	weight := 2 * levelWeight * float64(p.Answers) / float64(p.Answers+max(s.samples, 1))
+	s.share *= min(max(math.Pow(p.Level/level, min(weight, levelWeight)), 0.5), 2)
+}
