Ask admission about each opening packet, and report shortages to other instances

Cause: the admission core was not called.

Change: forwarding asks it in decideOpening and passes on answers, openings without a further packet and each tick's capacity (admit.go). Rejections are resets with the reason NoRoom. Hellos carry Pressures within the data centre; the log has a line when a shortage begins and ends; metrics count asked and refused flows by service and priority.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -17,8 +17,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/process/entry"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
+	"github.com/tanagerweir/tanagerweir/pkg/process/policy"
 	"github.com/tanagerweir/tanagerweir/platform"
 )
 
@@ -28,9 +30,10 @@
 		Usage: "run one instance on the users' platform",
 		Description: "Reads the settings file that the environment variable " + platform.SettingsVariable +
 			" names. SIGTERM starts a planned stop, SIGHUP reads the settings file again.",
-		UsageText: "tanagerweir entry",
+		UsageText: "tanagerweir entry [--policy FILE]",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "log", Value: "info", Usage: "lowest level that is logged: LEVEL, or LEVEL,Part=LEVEL,..."},
+			&cli.StringFlag{Name: "policy", Usage: "INI `FILE` with the policy for hard load; without it the defaults hold"},
 			&cli.Uint16Flag{Name: "metrics-port", Value: entry.DefaultMetricsPort, Usage: "port that serves metrics"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error { return runEntry(ctx, c, out) },
@@ -61,6 +64,10 @@
 	if err != nil {
 		return err
 	}
+	p, err := loadPolicy(c.String("policy"))
+	if err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(s.MemoryBytes / 100 * memoryLimitPercent)
 	store, closeStore := platform.NewStore(s.Store.Endpoint)
 	defer closeStore()
@@ -73,7 +80,7 @@
 	logger = logger.With("Instance", s.Name)
 	log.SetOutput(logs.Libraries(logger))
 	logger.InfoContext(logs.Always(), "Instance: started.", "DataCentre", s.DataCentre, "Packets", s.Packets, "Peers", s.Peers, "Store", s.Store.Endpoint)
-	node, closeNode, err := entry.New(entryOptions(s, store, logger, c.Uint16("metrics-port")))
+	node, closeNode, err := entry.New(entryOptions(s, p, store, logger, c.Uint16("metrics-port")))
 	if err != nil {
 		return err
 	}
@@ -89,7 +96,25 @@
 	}
 }
 
-func entryOptions(s platform.Settings, store *platform.Store, logger *slog.Logger, metricsPort uint16) entry.Options {
+// loadPolicy reads the policy file, and returns the defaults if none is named.
+func loadPolicy(file string) (policy.Policy, error) {
+	if file == "" {
+		return policy.Default(), nil
+	}
+	return policy.Load(file)
+}
+
+// admissionOptions returns the settings of admission, nil if it is off.
+func admissionOptions(p policy.Policy) *admission.Options {
+	if !p.Admission {
+		return nil
+	}
+	// The instance's monotonic clock starts a moment later; instances need to agree only
+	// within a small part of LongestStarvation.
+	return &admission.Options{LongestStarvation: p.LongestStarvation, Epoch: time.Duration(time.Now().UnixNano())}
+}
+
+func entryOptions(s platform.Settings, p policy.Policy, store *platform.Store, logger *slog.Logger, metricsPort uint16) entry.Options {
 	return entry.Options{
 		Name: s.Name, DataCentre: s.DataCentre,
 		Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath, Peers: s.Peers, Seeds: s.Seeds,
@@ -98,6 +123,7 @@
 		Metrics:            netip.AddrPortFrom(s.Packets.Addr(), metricsPort),
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
 		MaxFlow:            s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
+		Admission: admissionOptions(p),
 	}
 }
 
--- a/cmd/weirctl/cmds/check.go
+++ b/cmd/weirctl/cmds/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
+	"github.com/tanagerweir/tanagerweir/pkg/process/policy"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 	"github.com/tanagerweir/tanagerweir/platform"
 )
@@ -24,7 +25,7 @@
 	return &cli.Command{
 		Name:        "check",
 		Usage:       "check settings files and deploy files, and list all their problems",
-		Description: "INI files are settings of tanagerweir or emulated days, " + deployFile + " is the users' deploy file, other TOML files are settings of their platform. Exit codes: 0 all files are fine, 1 a file can't be read, 2 a file has problems.",
+		Description: "INI files are settings or policies of tanagerweir or emulated days, " + deployFile + " is the users' deploy file, other TOML files are settings of their platform. Exit codes: 0 all files are fine, 1 a file can't be read, 2 a file has problems.",
 		ArgsUsage:   "FILE...",
 		UsageText:   "weirctl check deploy/system.toml tanagerweir.ini local.toml",
 		Action:      runCheck,
@@ -58,7 +59,7 @@
 	return nil
 }
 
-// checkINI checks an INI file: settings of an instance or an emulated day.
+// checkINI checks an INI file: settings of an instance, a policy or an emulated day.
 func checkINI(file string) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -68,6 +69,10 @@
 		_, err = day.Load(file)
 		return err
 	}
+	if policy.IsPolicy(data) {
+		_, err = policy.Parse(data)
+		return err
+	}
 	_, err = settings.Load(file)
 	return err
 }
--- a/docs/pages/main.go
+++ b/docs/pages/main.go
@@ -14,6 +14,7 @@
 
 	entry "github.com/tanagerweir/tanagerweir/cmd/tanagerweir/cmds"
 	weirctl "github.com/tanagerweir/tanagerweir/cmd/weirctl/cmds"
+	"github.com/tanagerweir/tanagerweir/pkg/process/policy"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 	"github.com/tanagerweir/tanagerweir/pkg/trial/matrix"
 )
@@ -46,6 +47,11 @@
 		}
 		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", k.Section, k.Name, value, k.Allowed, k.Meaning)
 	}
+	b.WriteString("\n`tanagerweir entry --policy FILE` reads a file of its own with the section `[Policy]`:\n\n")
+	b.WriteString("| Key | Default | Allowed | Meaning |\n| --- | --- | --- | --- |\n")
+	for _, k := range policy.Keys() {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", k.Name, k.Default, k.Allowed, k.Meaning)
+	}
 	return b.String()
 }
 
--- a/pkg/connection/admission/admission.go
+++ b/pkg/connection/admission/admission.go
@@ -19,7 +19,6 @@
 //	if !core.Admit(now, "board", route, caller) {
 //		reset(packet)
 //	}
-//	core.Began(now, "board", route)
 //	core.Answered(now, "board", route, waited, true)
 //	core.Tick(now) // each 0.1 s
 //
@@ -167,14 +166,8 @@
 	return point
 }
 
-// Began records that a request was sent to a server, in a new flow or an open one.
-func (c *Core) Began(serviceName string) {
-	if s, ok := c.services[serviceName]; ok {
-		s.window.began++
-	}
-}
-
-// Answered records that a request of the route was answered, so long after it was sent.
+// Answered records that the first request of a flow was answered, so long after it was
+// sent. Later requests say nothing of where new flows go.
 // An answer that isn't good, such as a short error response, shows no queueing delay.
 func (c *Core) Answered(now time.Duration, serviceName string, route netip.AddrPort, waited time.Duration, good bool) {
 	s, ok := c.services[serviceName]
--- a/pkg/connection/admission/admission_test.go
+++ b/pkg/connection/admission/admission_test.go
@@ -107,7 +107,6 @@
 		if !c.Admit(now, service, route, callerOf(n)) || !c.Admit(now, "other", route, callerOf(n)) {
 			t.Fatal("a request was refused")
 		}
-		c.Began(service)
 		c.Answered(now, service, route, time.Second, false)
 		c.Unopened(now, service)
 		c.Tick(now)
@@ -133,7 +132,6 @@
 		}
 		for caller := range 2 {
 			if c.Admit(now, service, routes[1], callerOf(n+caller*5000)) {
-				c.Began(service)
 				c.Answered(now, service, routes[1], waited, true)
 			}
 		}
--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -127,7 +127,6 @@
 	average := func(rate *float64, count int) { *rate += rateWeight * (float64(count)/seconds - *rate) }
 	average(&s.askedRate, int(asked))
 	average(&s.admittedRate, int(asked-refused))
-	average(&s.beganRate, w.began)
 	average(&s.answeredRate, w.answers)
 	s.wait, s.samples = s.median(2 * ringSize)
 	s.peers.age(now)
@@ -250,10 +249,8 @@
 	return last
 }
 
-// divide admits as many requests a second, the most urgent first. Requests in open flows
-// are served in any case.
+// divide admits as many flows a second, the most urgent first.
 func (s *service) divide(now time.Duration, rate float64) {
-	rate -= max(s.beganRate-s.admittedRate, 0)
 	last := s.leastUrgent()
 	for i := range s.classes {
 		k := &s.classes[i]
--- a/pkg/connection/admission/play_test.go
+++ b/pkg/connection/admission/play_test.go
@@ -301,7 +301,6 @@
 // send sends the request over an open flow; the instance sees it first.
 func (p *player) send(r *request, v *backend, n *node, at int) {
 	r.sent = p.now
-	n.core.Began(service)
 	p.after(toServer, func() {
 		switch {
 		case v.running < slots:
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -99,7 +99,7 @@
 	samples        int
 	peers          peers
 	// Rates are in requests a second, over about 0.3 s.
-	askedRate, admittedRate, answeredRate, beganRate float64
+	askedRate, admittedRate, answeredRate float64
 	// failed is the part of the last window's attempts at servers that failed, and
 	// failedAverage that over about 0.3 s.
 	failed, failedAverage float64
@@ -142,8 +142,8 @@
 
 // window counts the events of the present window.
 type window struct {
-	started                 time.Duration
-	began, answers, overdue int
+	started          time.Duration
+	answers, overdue int
 	// failed are answers that weren't good and openings without a further packet, and
 	// shed only the former.
 	failed, shed int
--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -39,6 +39,8 @@
 	// sentEnd is the sequence number after the last byte that the caller sent, and
 	// acknowledged the one after the last byte that it acknowledged.
 	sentEnd, acknowledged uint32
+	// requests is the number of requests that this instance saw begin in the flow.
+	requests int
 	// waiting is true if a request was sent and no answer has come since.
 	waiting bool
 	// failureCounted is true if the present wait, for the opening or for an answer,
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -23,6 +23,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
@@ -123,6 +124,8 @@
 	Seed uint64
 	// Policy ranks backend servers; nil stands for placement.Score.
 	Policy placement.Policy
+	// Admission are the settings of the admission of new flows; nil admits all.
+	Admission *admission.Options
 }
 
 // Core decides about the packets that one instance receives.
@@ -154,6 +157,8 @@
 	unserved    bool
 	unservedAt  time.Duration
 	reachEvents []ReachEvent
+	// admission is nil if all new flows are admitted.
+	admission *admission.Core
 }
 
 // New returns a Core without a directory; it drops packets until Adopt.
@@ -161,10 +166,14 @@
 	if o.Policy == nil {
 		o.Policy = placement.Score
 	}
-	return &Core{
+	c := &Core{
 		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
 		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration),
 	}
+	if o.Admission != nil {
+		c.admission = admission.New(*o.Admission)
+	}
+	return c
 }
 
 const (
@@ -212,6 +221,7 @@
 		return Decision{Verdict: Drop, Reason: UnknownMark}
 	}
 	request := c.observe(now, s, v)
+	c.observeAdmission(now, s, v, request)
 	if reason, lost := c.flowLost(now, s, v); lost {
 		if f := c.flows.byKey[s.Flow]; f != nil {
 			c.flows.remove(f)
@@ -263,6 +273,9 @@
 	}
 	c.checkOpenings(now)
 	c.askFor(now, route)
+	if service := serviceOf(route, s.Flow); !c.admits(now, s, service) {
+		return Decision{Verdict: Reset, Reason: NoRoom, Route: route.Name, Service: service}
+	}
 	f := c.openFlow(now, s)
 	v := c.place(now, route, f)
 	if v == nil {
@@ -318,4 +331,5 @@
 		c.updateState(now, v)
 	}
 	c.updateReach(now)
+	c.tickAdmission(now)
 }
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -201,7 +201,9 @@
 	c.openingsChecked = now
 	for f := c.flows.nextUnopened(now - answerTime); f != nil; f = c.flows.nextUnopened(now - answerTime) {
 		f.failureCounted = true
-		if v := f.lastTried(); v.observed.recordUnopened(now, f) {
+		v := f.lastTried()
+		c.observeUnopened(now, v)
+		if v.observed.recordUnopened(now, f) {
 			c.reachOf(v.DataCentre).recordFailure(v)
 		}
 	}
@@ -233,6 +235,9 @@
 type requestEvents struct {
 	began, answered bool
 	waited          time.Duration
+	// first is true if the answered request was the first of a flow that was opened
+	// here.
+	first bool
 }
 
 // observe updates the flow's record and the server's observations for a packet of
@@ -256,12 +261,16 @@
 	if f.acknowledge(s) {
 		c.signOfLife(now, v)
 		events.answered, events.waited = waiting, now-f.lastSent
+		events.first = f.requests == 1 && f.lastTried() != nil
 	}
 	waiting = f.waiting
 	if f.observeData(now, s) {
 		c.reachOf(v.DataCentre).recordFailure(v)
 	}
 	events.began = f.waiting && !waiting
+	if events.began {
+		f.requests++
+	}
 	if s.Flags&(segment.Finish|segment.Abort) != 0 {
 		c.flows.remove(f)
 	}
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -65,7 +65,9 @@
 			v.observed = observations{}
 		}
 	})
+	before := c.directory.Version()
 	c.directory = d
+	c.configureAdmission(before)
 	if changed {
 		c.servers.index()
 	}
--- a/pkg/emulation/day/day.go
+++ b/pkg/emulation/day/day.go
@@ -209,6 +209,8 @@
 	Worth, LateWorth float64
 	// Retries is how many attempts may follow the first.
 	Retries int
+	// Priority is 0 for the most important requests.
+	Priority int
 }
 
 // Fault is a fault or another event that is injected during a day.
--- a/pkg/emulation/day/load.go
+++ b/pkg/emulation/day/load.go
@@ -281,6 +281,7 @@
 		RequestBytes: r.integer(s, "RequestBytes", "0"), AnswerBytes: r.integer(s, "AnswerBytes", "1000"),
 		Target: r.duration(s, "Target", ""), Budget: r.duration(s, "Budget", ""),
 		Worth: r.number(s, "Worth", "1"), LateWorth: r.number(s, "LateWorth", "0.5"), Retries: r.integer(s, "Retries", "2"),
+		Priority: r.integer(s, "Priority", "0"),
 	}
 }
 
--- a/pkg/emulation/emulation.go
+++ b/pkg/emulation/emulation.go
@@ -28,6 +28,8 @@
 	Seed     uint64
 	Design   Design
 	Platform Platform
+	// WithoutAdmission lets instances admit all new flows.
+	WithoutAdmission bool
 	// Log receives the logs of all instances as JSON lines; nil discards them.
 	Log io.Writer
 }
--- a/pkg/emulation/operator.go
+++ b/pkg/emulation/operator.go
@@ -82,7 +82,7 @@
 	c := directory.Configuration{Version: firstVersion, IdleTimeout: flowIdle}
 	for n, class := range w.day.Classes {
 		c.Routes = append(c.Routes, directory.Route{
-			Name: class.Name, Endpoint: routeOf(n), Kind: class.Kind, Target: class.Target, Timeout: class.Budget,
+			Name: class.Name, Endpoint: routeOf(n), Kind: class.Kind, Target: class.Target, Timeout: class.Budget, Priority: class.Priority,
 			Shares: []directory.Share{{Service: class.Service, Weight: 1}},
 		})
 	}
--- a/pkg/emulation/world.go
+++ b/pkg/emulation/world.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/timeline"
@@ -47,20 +48,22 @@
 // world is one emulated deployment: the instances and the models around them.
 // Everything in it runs on the goroutine that calls run.
 type world struct {
-	day         day.Day
-	seed        uint64
-	design      Design
-	platform    Platform
-	log         io.Writer
-	clock       *timeline.Timeline
-	random      *rand.Rand
-	faultRandom *rand.Rand
-	network     *network
-	store       *store
-	operator    *operator
-	routers     routers
-	checker     *checker
-	tally       *tally
+	day      day.Day
+	seed     uint64
+	design   Design
+	platform Platform
+	// withoutAdmission lets instances admit all new flows.
+	withoutAdmission bool
+	log              io.Writer
+	clock            *timeline.Timeline
+	random           *rand.Rand
+	faultRandom      *rand.Rand
+	network          *network
+	store            *store
+	operator         *operator
+	routers          routers
+	checker          *checker
+	tally            *tally
 
 	instances     []*instance
 	byPeerAddress map[netip.AddrPort]*instance
@@ -96,7 +99,7 @@
 
 func newWorld(d day.Day, o Options) *world {
 	w := &world{
-		day: d, seed: o.Seed, design: o.Design, platform: o.Platform, log: o.Log, clock: timeline.New(),
+		day: d, seed: o.Seed, design: o.Design, platform: o.Platform, log: o.Log, withoutAdmission: o.WithoutAdmission, clock: timeline.New(),
 		byPeerAddress: make(map[netip.AddrPort]*instance), byEndpoint: make(map[netip.AddrPort]*server), byID: make(map[string]*server),
 		routes: make(map[string]netip.AddrPort), openingsSent: make(map[instanceAndServer]int),
 	}
@@ -197,6 +200,9 @@
 	o.LinkBytesPerSecond = i.bytesPerSecond
 	o.Policy = w.design.policyFor(w, i)
 	o.Logger = w.logger(i)
+	if !w.withoutAdmission {
+		o.Admission = &admission.Options{Epoch: i.startedAt}
+	}
 	return o
 }
 
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -46,12 +47,16 @@
 	answer func(loads []forwarding.Load, to netip.AddrPort)
 	// publishedLoads are the core's loads as of the last tick, for the exchange.
 	publishedLoads atomic.Pointer[[]forwarding.Load]
+	// publishedPressures are likewise the core's pressures.
+	publishedPressures atomic.Pointer[[]admission.Pressure]
 }
 
-// peerLoads are the loads of backend servers that another instance reported.
+// peerLoads are the loads of backend servers and the pressures of services that another
+// instance reported. loads is nil if it reported none.
 type peerLoads struct {
-	name  string
-	loads []forwarding.Load
+	name      string
+	loads     []forwarding.Load
+	pressures []admission.Pressure
 	// aliveInstances is how many other instances of the data centre are alive.
 	aliveInstances int
 }
@@ -141,6 +146,23 @@
 	return nil
 }
 
+// pressures returns what this instance reports of services that are short, as of the last
+// tick. The caller must not change the slice.
+func (d *decider) pressures() []admission.Pressure {
+	if p := d.publishedPressures.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// applyPeerLoads applies the report of another instance.
+func (d *decider) applyPeerLoads(p peerLoads) {
+	if len(p.loads) > 0 {
+		d.core.ReceiveLoads(d.host.Now(), p.name, p.loads, p.aliveInstances)
+	}
+	d.core.ReceivePressures(d.host.Now(), p.pressures)
+}
+
 // run handles the receiver's packets until the context ends or the receiver stops.
 func (d *decider) run(ctx context.Context, r *receiver) {
 	ticks := time.NewTicker(TickPeriod)
@@ -160,7 +182,7 @@
 		case <-ticks.C:
 			d.tick()
 		case p := <-d.peerReports:
-			d.core.ReceiveLoads(d.host.Now(), p.name, p.loads, p.aliveInstances)
+			d.applyPeerLoads(p)
 		case i := <-d.inquiries:
 			d.answer(d.core.AnswerInquiry(d.host.Now(), i.marks), i.from)
 		case a := <-d.answers:
@@ -183,7 +205,7 @@
 		}
 		select {
 		case p := <-d.peerReports:
-			d.core.ReceiveLoads(d.host.Now(), p.name, p.loads, p.aliveInstances)
+			d.applyPeerLoads(p)
 			continue
 		default:
 		}
@@ -228,12 +250,16 @@
 	}
 	d.observer.recordServerStates(d.core.Events())
 	d.observer.recordReach(d.core.ReachEvents())
+	d.observer.recordShortages(d.core.Shortages())
+	d.observer.metrics.countDemand(d.core.Demand())
 	if d.readiness.setServed(d.core.Served()) {
 		d.observer.recordServed(d.core.Served())
 	}
 	d.observer.logSummary(now)
 	loads := d.core.Loads(now)
 	d.publishedLoads.Store(&loads)
+	pressures := d.core.Pressures()
+	d.publishedPressures.Store(&pressures)
 }
 
 // recordArrival records the current time as that of the latest packet and returns
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -60,6 +60,7 @@
 	e := &Engine{host: h, log: o.Logger, readiness: &readiness{}}
 	core := forwarding.New(forwarding.Options{
 		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, Policy: o.Policy, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
+		Admission: o.Admission,
 	})
 	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) })
 	e.decider = newDecider(o, core, e.readiness, h, metrics)
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -111,6 +112,8 @@
 	Logger                *slog.Logger
 	// Seed seeds the instance's random streams.
 	Seed uint64
+	// Admission are the settings of the admission of new flows; nil admits all.
+	Admission *admission.Options
 	// Policy ranks backend servers for new flows; nil selects the default policy.
 	Policy placement.Policy
 }
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -73,8 +73,8 @@
 	switch {
 	case m.Answer:
 		e.decider.queueAnswer(answer{loads: m.Loads, ownDataCentre: !otherDataCentre})
-	case !otherDataCentre && len(m.Loads) > 0:
-		e.decider.queuePeerLoads(peerLoads{name: m.Hello.From.Name, loads: m.Loads, aliveInstances: e.state.aliveInstances()})
+	case !otherDataCentre && len(m.Loads)+len(m.Pressures) > 0:
+		e.decider.queuePeerLoads(peerLoads{name: m.Hello.From.Name, loads: m.Loads, pressures: m.Pressures, aliveInstances: e.state.aliveInstances()})
 	}
 }
 
@@ -95,7 +95,7 @@
 // sendState sends this instance's state to as many peers as the budget allows. A
 // follower leaves out the loads and sends to more peers.
 func (e *exchange) sendState() {
-	m := wire.Message{Hello: e.state.hello()}
+	m := wire.Message{Hello: e.state.hello(), Pressures: e.decider.pressures()}
 	if !m.Hello.Following {
 		m.Loads = e.decider.loads()
 	}
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -35,10 +35,12 @@
 	placed       *prometheus.CounterVec
 	answers      *prometheus.HistogramVec
 	serverStates []prometheus.Counter
+	demandMetrics
 }
 
 func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration) *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
+	m.demandMetrics = newDemandMetrics(m.registry)
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tanagerweir_entry_packets_total", Help: "Packets from callers, by the reason of the decision.",
 	}, []string{"reason"})
--- a/pkg/process/entry/observer.go
+++ b/pkg/process/entry/observer.go
@@ -68,6 +68,9 @@
 		"Caller", s.Flow.Caller, "Route", s.Flow.Route, "Reason", d.Reason.String(), "Server", d.Server,
 		"Version", inputs.version, "ConfirmedAge", inputs.confirmedAge,
 	}
+	if d.Reason == forwarding.NoRoom {
+		fields = append(fields, "Service", d.Service, "Class", d.Route)
+	}
 	if inputs.requestID != "" {
 		fields = append(fields, "RequestId", inputs.requestID)
 	}
--- a/pkg/version/directory/directory.go
+++ b/pkg/version/directory/directory.go
@@ -139,6 +139,13 @@
 // Routes returns how many routes there are.
 func (d Directory) Routes() int { return len(d.routes) }
 
+// EachRoute calls visit for each route, in the order of their endpoints.
+func (d Directory) EachRoute(visit func(Route)) {
+	for _, endpoint := range slices.SortedFunc(maps.Keys(d.routes), netip.AddrPort.Compare) {
+		visit(d.routes[endpoint])
+	}
+}
+
 // Service returns a service by its name.
 func (d Directory) Service(name string) (Service, bool) {
 	s, ok := d.services[name]
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
@@ -26,6 +27,8 @@
 	// Loads answers such an inquiry.
 	Asked  []mark.Mark
 	Answer bool
+	// Pressures are the services that are short of capacity.
+	Pressures []admission.Pressure
 }
 
 // hundredths is the number of wire units in one running request.
@@ -56,6 +59,7 @@
 			ColdLeftMilliseconds: toMilliseconds(l.ColdLeft),
 		})
 	}
+	w.Pressures = pressuresToWire(m.Pressures)
 	if m.Batch != nil {
 		w.Batch = batchToWire(*m.Batch)
 	}
@@ -101,6 +105,7 @@
 			ColdLeft: fromMilliseconds(l.GetColdLeftMilliseconds()),
 		})
 	}
+	m.Pressures = pressuresFromWire(w.GetPressures())
 	if w.GetBatch() != nil {
 		batch := batchFromWire(w.GetBatch())
 		m.Batch = &batch
