--- a/pkg/connection/admission/admission.go
+++ b/pkg/connection/admission/admission.go
@@ -208,6 +208,12 @@
 	}
 }
 
+// Short reports whether a service is short of capacity, so that requests may be refused.
+func (c *Core) Short(serviceName string) bool {
+	s, ok := c.services[serviceName]
+	return ok && s.short
+}
+
 func (c *Core) checkOnset(now time.Duration, s *service) {
 	if event, begun := s.checkOnset(now); begun {
 		c.addEvent(event)
--- a/pkg/connection/forwarding/admit.go
+++ b/pkg/connection/forwarding/admit.go
@@ -82,6 +82,9 @@
 	return c.admission.Events()
 }
 
+// Short reports whether a service is short of capacity, so that new flows may be refused.
+func (c *Core) Short(service string) bool { return c.admission != nil && c.admission.Short(service) }
+
 // Demand returns the counts of requests by service and priority since the start.
 func (c *Core) Demand() []admission.Count {
 	if c.admission == nil {
--- a/pkg/connection/forwarding/bench_test.go
+++ b/pkg/connection/forwarding/bench_test.go
@@ -87,6 +87,23 @@
 	})
 }
 
+// BenchmarkPlacementInOneService places flows of a service that has all servers, so that
+// the search is as long as it can be.
+func BenchmarkPlacementInOneService(b *testing.B) {
+	for _, servers := range []int{18, 150, 3800} {
+		c := newCore(sized(servers, 1))
+		p := newCaller(routeOf(0))
+		open, finish := p.open(0), p.finish()
+		b.Run(fmt.Sprintf("Servers=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				finish.Mark = uint32(c.Decide(time.Second, open).Mark)
+				c.Decide(time.Second, finish)
+			}
+		})
+	}
+}
+
 func BenchmarkAdopt(b *testing.B) {
 	for _, size := range fleetSizes {
 		d := sized(size.servers, size.services)
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -9,35 +9,72 @@
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
+// Classes of warm backend servers, in the order of preference. A cold server within reach
+// comes before the last of them, and any other cold server after it.
+const (
+	untried = iota
+	suspectedUntried
+	triedBefore
+	outOfReach
+	warmClasses
+)
+
 // place chooses the backend server of a new flow, nil if there is none. It
 // prefers warm servers that aren't suspected and weren't tried yet, then
 // suspected ones that weren't tried, then those that were tried, and then cold
-// ones; servers out of reach come last.
+// ones; servers out of reach come last. Cold servers are only looked at if no warm one
+// is within reach, as their bound takes long to check.
 func (c *Core) place(now time.Duration, r directory.Route, f *flow) *server {
 	servers := c.servers.byService[serviceOf(r, f.key)]
 	c.draw++
-	for _, accept := range [...]func(*server) bool{
-		func(v *server) bool {
-			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
-		},
-		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) },
-		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) },
-		func(v *server) bool {
-			return c.usable(now, v) && c.withinReach(now, v) && c.acceptsCold(now, v)
-		},
-		func(v *server) bool { return c.warm(now, v) },
-		func(v *server) bool { return c.usable(now, v) && c.acceptsCold(now, v) },
-	} {
-		best := placement.NewBest(c.draw, c.options.Policy)
-		for i, v := range servers {
-			if accept(v) {
-				best.Offer(i, c.candidate(now, v))
-			}
+	best := [warmClasses]placement.Best{}
+	for class := range best {
+		best[class] = placement.NewBest(c.draw, c.options.Policy)
+	}
+	for i, v := range servers {
+		if c.warm(now, v) {
+			best[c.warmClass(now, f, v)].Offer(i, c.candidate(now, v))
 		}
-		if i, ok := best.Choice(); ok {
+	}
+	for _, class := range []int{untried, suspectedUntried, triedBefore} {
+		if i, ok := best[class].Choice(); ok {
 			return servers[i]
 		}
 	}
+	if v := c.placeCold(now, servers, true); v != nil {
+		return v
+	}
+	if i, ok := best[outOfReach].Choice(); ok {
+		return servers[i]
+	}
+	return c.placeCold(now, servers, false)
+}
+
+// warmClass returns the class of a warm backend server for a flow.
+func (c *Core) warmClass(now time.Duration, f *flow, v *server) int {
+	switch {
+	case !c.withinReach(now, v):
+		return outOfReach
+	case f.tried(v):
+		return triedBefore
+	case v.observed.suspected(now):
+		return suspectedUntried
+	}
+	return untried
+}
+
+// placeCold chooses among the cold backend servers that accept a flow, within reach or
+// not, nil if there is none.
+func (c *Core) placeCold(now time.Duration, servers []*server, reached bool) *server {
+	best := placement.NewBest(c.draw, c.options.Policy)
+	for i, v := range servers {
+		if c.usable(now, v) && !c.warm(now, v) && c.withinReach(now, v) == reached && c.acceptsCold(now, v) {
+			best.Offer(i, c.candidate(now, v))
+		}
+	}
+	if i, ok := best.Choice(); ok {
+		return servers[i]
+	}
 	return nil
 }
 
--- a/pkg/emulation/checker.go
+++ b/pkg/emulation/checker.go
@@ -232,7 +232,7 @@
 		if check.version > i.seenVersion {
 			i.seenVersion, i.seenVersionAt = check.version, c.world.clock.Now()
 		}
-	case !forwarded && !c.world.canServe(check.route):
+	case !forwarded && (!c.world.canServe(check.route) || c.shortOf(i, check.route)):
 		// The reset may say that no server can serve the flow, not that the route is
 		// unknown.
 	case check.sentAt > check.acknowledgedAt+b.Configuration && c.timeBoundsApply(i):
@@ -242,6 +242,16 @@
 	}
 }
 
+// shortOf reports whether a service of the route is short of capacity at the instance.
+func (c *checker) shortOf(i *instance, route netip.AddrPort) bool {
+	for service := range c.world.operator.servicesOfRoute[route] {
+		if i.engine.Short(service) {
+			return true
+		}
+	}
+	return false
+}
+
 // canServe reports whether a warm backend server may get new flows of a route.
 func (w *world) canServe(route netip.AddrPort) bool {
 	return slices.ContainsFunc(w.servers, func(v *server) bool {
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -94,6 +94,10 @@
 	e.decider.applyQueued()
 }
 
+// Short reports whether a service is short of capacity, so that new flows of its routes may
+// be refused.
+func (e *Engine) Short(service string) bool { return e.decider.core.Short(service) }
+
 // Tick handles timeouts and publishes loads. It is called once in each TickPeriod.
 func (e *Engine) Tick() {
 	e.decider.applyQueued()
