--- a/pkg/process/explanation/cause.go
+++ b/pkg/process/explanation/cause.go
@@ -11,6 +11,7 @@
 // the time since the configuration was known to be the newest.
 var decisionCauses = map[string]string{
 	"NoRoute":        "no route has this address in version %[2]s, confirmed %[3]s before",
+	"NoRoom":         "the service was short of capacity and more urgent requests or other callers went first",
 	"NoServer":       "no backend server of the route could take a new flow in version %[2]s",
 	"ServerGone":     "backend server %[1]s ended while the flow was open",
 	"ServerSilent":   "backend server %[1]s answered nobody, so its flows were given up",
@@ -28,6 +29,9 @@
 // reliable evidence first. Flow holds the lines of the flow, and lines also those
 // about its instances and backend servers.
 func findCause(flow, lines []Line) string {
+	if cause := shortageCause(flow, lines); cause != "" {
+		return cause
+	}
 	if cause := decisionCause(flow); cause != "" {
 		return cause
 	}
@@ -106,6 +110,27 @@
 	return ""
 }
 
+// shortageCause explains a flow that was refused while its service was short of capacity,
+// by the numbers with which its instance began the shortage. It returns "" for other flows,
+// and if the lines lack that begin.
+func shortageCause(flow, lines []Line) string {
+	last := flow[len(flow)-1]
+	if last.Message != "Flow: reset." || last.Fields["Reason"] != "NoRoom" {
+		return ""
+	}
+	var short Line
+	for _, l := range lines {
+		if l.Message == "Service: short of capacity." && l.Instance == last.Instance && l.Fields["Service"] == last.Fields["Service"] && !l.At.After(last.At) {
+			short = l
+		}
+	}
+	if short.Message == "" {
+		return ""
+	}
+	return fmt.Sprintf("reset: service %s was short of capacity since %s: %s flows a second were asked for and %s answered, %s later than by idle servers with a limit of %s, and %s of the attempts failed; class %s was refused in part or whole",
+		last.Fields["Service"], short.At.UTC().Format(timeFormat), short.Fields["Asked"], short.Fields["Answered"], short.Fields["Wait"], short.Fields["Limit"], short.Fields["Failed"], last.Fields["Class"])
+}
+
 // reachWindow is how long before the flow's last packet its data centre may have come
 // within reach again and still explain a failure.
 const reachWindow = 2 * time.Second
--- a/pkg/process/explanation/explanation.go
+++ b/pkg/process/explanation/explanation.go
@@ -127,7 +127,7 @@
 }
 
 // durationFields are the fields whose values are durations in nanoseconds.
-var durationFields = []string{"ConfirmedAge", "SilentFor", "ColdLeft", "After", "Grace", "MaxFlow", "Waited"}
+var durationFields = []string{"ConfirmedAge", "SilentFor", "ColdLeft", "After", "Grace", "MaxFlow", "Waited", "Wait", "Limit", "Lasted"}
 
 // formatValue formats a field's value: durations with a unit, whole numbers without an
 // exponent, and other values as text.
@@ -177,7 +177,14 @@
 	delete(servers, "")
 	result := Result{}
 	for _, l := range g.lines {
-		if l.At.Before(from) || l.At.After(to) {
+		if l.At.After(to) {
+			continue
+		}
+		if isShortageLine(l, flow) {
+			result.Lines = append(result.Lines, l)
+			continue
+		}
+		if l.At.Before(from) {
 			continue
 		}
 		if contains(flow, l) || servers[l.Fields["Server"]] && strings.HasPrefix(l.Message, "Server:") && instances[l.Instance] || instances[l.Instance] && isInstanceLine(l) {
@@ -214,6 +221,13 @@
 	return flow
 }
 
+// isShortageLine reports whether a line is about a shortage of the service of the flow's last
+// line, at its instance. A shortage may have begun long before.
+func isShortageLine(l Line, flow []Line) bool {
+	last := flow[len(flow)-1]
+	return strings.HasPrefix(l.Message, "Service:") && l.Instance == last.Instance && l.Fields["Service"] == last.Fields["Service"]
+}
+
 func contains(lines []Line, l Line) bool {
 	return slices.ContainsFunc(lines, func(o Line) bool {
 		return o.At.Equal(l.At) && o.Instance == l.Instance && o.Message == l.Message && maps.Equal(o.Fields, l.Fields)
--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
@@ -27,6 +28,7 @@
 		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second, ColdLeft: time.Second,
 	}},
 	Asked: []mark.Mark{7, 9}, Answer: true,
+	Pressures: []admission.Pressure{{Service: 1 << 31, Asked: 1500.25, Admitted: 321.5, Wait: 48 * time.Millisecond, Answers: 31, Level: 0.2143}},
 	Batch: &replica.Batch{After: 410, Revision: 412, Changes: []replica.Change{
 		{Key: "a", Value: []byte("1"), Revision: 411}, {Key: "b", Revision: 412, Deleted: true},
 	}},
