Merge admission by class

Admission counts running requests by the same function as placing. Reports of other instances count as of the time at which they were received.

--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -23,6 +23,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
@@ -125,6 +126,8 @@
 	Policy placement.Policy
 	// Health are the settings of what is learnt of servers' capacity and health.
 	Health HealthOptions
+	// Admission are the settings of the admission of new flows; nil admits all.
+	Admission *admission.Options
 }
 
 // Core decides about the packets that one instance receives.
@@ -168,6 +171,8 @@
 	restartEvents []RestartEvent
 	noticesDue    bool
 	senders       senders
+	// admission is nil if all new flows are admitted.
+	admission *admission.Core
 }
 
 // New returns a Core without a directory; it drops packets until Adopt.
@@ -175,11 +180,15 @@
 	if o.Policy == nil {
 		o.Policy = placement.Score
 	}
-	return &Core{
+	c := &Core{
 		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
 		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration), sums: make(map[string]loadSum),
 		health: newHealth(o.Health),
 	}
+	if o.Admission != nil {
+		c.admission = admission.New(*o.Admission)
+	}
+	return c
 }
 
 const (
@@ -227,6 +236,7 @@
 		return Decision{Verdict: Drop, Reason: UnknownMark}
 	}
 	request := c.observe(now, s, v)
+	c.observeAdmission(now, s, v, request)
 	if reason, lost := c.flowLost(now, s, v); lost {
 		if f := c.flows.byKey[s.Flow]; f != nil {
 			c.flows.remove(f)
@@ -281,6 +291,9 @@
 	}
 	c.checkOpenings(now)
 	c.askFor(now, route)
+	if service := serviceOf(route, s.Flow); !c.admits(now, s, service) {
+		return Decision{Verdict: Reset, Reason: NoRoom, Route: route.Name, Service: service}
+	}
 	f := c.openFlow(now, s)
 	v := c.place(now, route, f, s.Copy())
 	if v == nil && c.usableSoon(now, route, f, s.Copy()) {
@@ -341,4 +354,5 @@
 		c.updateState(now, v)
 	}
 	c.updateReach(now)
+	c.tickAdmission(now)
 }
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -203,8 +203,10 @@
 	c.openingsChecked = now
 	for f := c.flows.nextUnopened(now - answerTime); f != nil; f = c.flows.nextUnopened(now - answerTime) {
 		f.failureCounted = true
-		c.health.recordUnopened(now, f.lastTried())
-		if v := f.lastTried(); v.observed.recordUnopened(now, f) {
+		v := f.lastTried()
+		c.health.recordUnopened(now, v)
+		c.observeUnopened(now, v)
+		if v.observed.recordUnopened(now, f) {
 			c.recordSign(now, v, f.lastSent, v.observed.failures)
 			c.reachOf(v.DataCentre).recordFailure(v)
 		}
@@ -238,6 +240,9 @@
 type requestEvents struct {
 	began, answered bool
 	waited          time.Duration
+	// first is true if the answered request was the first of a flow that was opened
+	// here.
+	first bool
 }
 
 // observe updates the flow's record and the server's observations for a packet of
@@ -262,6 +267,7 @@
 		c.signOfLife(now, v)
 		c.recordRun(now, v, f.openSince)
 		events.answered, events.waited = waiting, now-f.lastSent
+		events.first = f.requests == 1 && f.lastTried() != nil
 	}
 	waiting = f.waiting
 	if f.observeData(now, s) {
@@ -269,6 +275,9 @@
 		c.reachOf(v.DataCentre).recordFailure(v)
 	}
 	events.began = f.waiting && !waiting
+	if events.began {
+		f.requests++
+	}
 	c.observeHealth(now, s, f, events)
 	if s.Flags&(segment.Finish|segment.Abort) != 0 {
 		c.flows.remove(f)
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -7,51 +7,87 @@
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
+// Classes of backend servers that may get a flow, in the order of preference.
+const (
+	// proven: for requests that can't be repeated, while servers of the service are degraded.
+	proven = iota
+	untried
+	suspectedUntried
+	triedBefore
+	cold
+	outOfReach
+	coldOutOfReach
+	doubtful
+	placementClasses
+)
+
 // place chooses the backend server of a new flow, of which that many copies of the
-// opening packet were sent before, nil if there is none. It
-// prefers warm servers that aren't suspected and weren't tried yet, then
-// suspected ones that weren't tried, then those that were tried, and then cold
-// ones; servers out of reach come last.
+// opening packet were sent before, nil if there is none. It takes the best server of the
+// first class that has any.
 func (c *Core) place(now time.Duration, r directory.Route, f *flow, copies int) *server {
 	service := serviceOf(r, f.key)
-	servers, trial := c.servers.byService[service], c.health.allowsTrial(now, service, r)
+	p := placing{flow: f, copies: copies, trial: c.health.allowsTrial(now, service, r), reserve: c.health.reserves(service, r)}
+	servers := c.servers.byService[service]
 	c.draw++
-	reserve := c.health.reserves(service, r)
-	for pass, accept := range [...]func(*server) bool{
-		func(v *server) bool {
-			return c.proven(v) && c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
-		},
-		func(v *server) bool {
-			return c.withinReach(now, v) && !f.tried(v) && c.accepts(now, trial, v) &&
-				(c.warm(now, v) && !c.suspected(now, v) || c.acceptsTrial(now, v))
-		},
-		func(v *server) bool {
-			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && c.accepts(now, trial, v)
-		},
-		func(v *server) bool { return c.warm(now, v) && c.withinReach(now, v) },
-		func(v *server) bool {
-			return c.usable(now, v) && c.withinReach(now, v) && c.acceptsCold(now, v)
-		},
-		func(v *server) bool { return c.warm(now, v) },
-		func(v *server) bool { return c.usable(now, v) && c.acceptsCold(now, v) },
-		func(v *server) bool { return c.acceptsDoubtful(now, v, copies) },
-	} {
-		if pass == 0 && !reserve {
-			continue
-		}
-		best := placement.NewBest(c.draw, c.options.Policy)
-		for i, v := range servers {
-			if accept(v) {
-				best.Offer(i, c.weighHealth(c.candidate(now, v), r, v))
-			}
+	best := [placementClasses]placement.Best{}
+	for class := range best {
+		best[class] = placement.NewBest(c.draw, c.options.Policy)
+	}
+	for i, v := range servers {
+		if class := c.placementClass(now, p, v); class < placementClasses {
+			best[class].Offer(i, c.weighHealth(c.candidate(now, v), r, v))
 		}
-		if i, ok := best.Choice(); ok {
+	}
+	for class := range best {
+		if i, ok := best[class].Choice(); ok {
 			return servers[i]
 		}
 	}
 	return nil
 }
 
+// placing is a new flow for which a server is chosen.
+type placing struct {
+	flow   *flow
+	copies int
+	// trial says that the flow may probe a server, and reserve that servers of proven
+	// health come first.
+	trial, reserve bool
+}
+
+// placementClass returns the class of a backend server for a flow, placementClasses if it
+// may not get the flow.
+func (c *Core) placementClass(now time.Duration, p placing, v *server) int {
+	if !c.usable(now, v) {
+		return placementClasses
+	}
+	warm, reached, tried := c.warm(now, v), c.withinReach(now, v), p.flow.tried(v)
+	if reached && !tried {
+		suspected, accepted := v.observed.suspected(now), c.accepts(now, p.trial, v)
+		switch {
+		case p.reserve && warm && !suspected && c.proven(v):
+			return proven
+		case accepted && (warm && !c.suspected(now, v) || c.acceptsTrial(now, v)):
+			return untried
+		case accepted && warm:
+			return suspectedUntried
+		}
+	}
+	switch {
+	case warm && reached:
+		return triedBefore
+	case reached && c.acceptsCold(now, v):
+		return cold
+	case warm:
+		return outOfReach
+	case c.acceptsCold(now, v):
+		return coldOutOfReach
+	case c.acceptsDoubtful(now, v, p.copies):
+		return doubtful
+	}
+	return placementClasses
+}
+
 // usable reports whether the backend server may get new flows at all.
 func (c *Core) usable(now time.Duration, v *server) bool {
 	present := !v.missing || now < v.usableUntil
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -82,8 +82,10 @@
 			v.restart.runFrom, v.restart.runTo = 0, 0
 		}
 	})
+	before := c.directory.Version()
 	c.directory = d
 	c.senders.stale = true
+	c.configureAdmission(before)
 	if changed {
 		c.servers.index()
 	}
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -50,13 +51,17 @@
 	notify func([]forwarding.Load)
 	// publishedLoads are the core's loads as of the last tick, for the exchange.
 	publishedLoads atomic.Pointer[[]forwarding.Load]
+	// publishedPressures are likewise the core's pressures.
+	publishedPressures atomic.Pointer[[]admission.Pressure]
 }
 
-// peerLoads are the loads of backend servers that another instance reported.
+// peerLoads are the loads of backend servers and the pressures of services that another
+// instance reported. loads is nil if it reported none.
 type peerLoads struct {
 	receivedAt time.Duration
 	name       string
 	loads      []forwarding.Load
+	pressures  []admission.Pressure
 	// aliveInstances is how many other instances of the data centre are alive.
 	aliveInstances int
 }
@@ -153,6 +158,15 @@
 	return nil
 }
 
+// pressures returns what this instance reports of services that are short, as of the last
+// tick. The caller must not change the slice.
+func (d *decider) pressures() []admission.Pressure {
+	if p := d.publishedPressures.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
 // run handles the receiver's packets until the context ends or the receiver stops.
 func (d *decider) run(ctx context.Context, r *receiver) {
 	ticks := time.NewTicker(TickPeriod)
@@ -244,12 +258,16 @@
 	d.observer.recordServerStates(d.core.Events())
 	d.observer.recordReach(d.core.ReachEvents())
 	d.observer.recordHealth(d.core.HealthEvents(), d.core.HealthStates(now))
+	d.observer.recordShortages(d.core.Shortages())
+	d.observer.metrics.countDemand(d.core.Demand())
 	if d.readiness.setServed(d.core.Served()) {
 		d.observer.recordServed(d.core.Served())
 	}
 	d.observer.logSummary(now)
 	loads := d.core.Loads(now)
 	d.publishedLoads.Store(&loads)
+	pressures := d.core.Pressures()
+	d.publishedPressures.Store(&pressures)
 }
 
 // sendNotices sends what other instances should know at once.
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -61,7 +61,8 @@
 	e := &Engine{host: h, log: o.Logger, readiness: &readiness{}, guards: newGuards(o.Logger)}
 	core := forwarding.New(forwarding.Options{
 		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, Policy: o.Policy, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
-		Health: o.Health,
+		Health:    o.Health,
+		Admission: o.Admission,
 	})
 	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) })
 	metrics.countPanics(e.guards)
@@ -103,6 +104,10 @@
 	e.decider.applyQueued()
 }
 
+// Short reports whether a service is short of capacity, so that new flows of its routes may
+// be refused.
+func (e *Engine) Short(service string) bool { return e.decider.core.Short(service) }
+
 // Tick handles timeouts and publishes loads. It is called once in each TickPeriod.
 func (e *Engine) Tick() {
 	e.decider.applyQueued()
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
@@ -119,6 +120,8 @@
 	Logger *slog.Logger
 	// Seed seeds the instance's random streams.
 	Seed uint64
+	// Admission are the settings of the admission of new flows; nil admits all.
+	Admission *admission.Options
 	// Policy ranks backend servers for new flows; nil selects the default policy.
 	Policy placement.Policy
 }
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -85,8 +85,8 @@
 	switch {
 	case m.Answer:
 		e.decider.queueAnswer(answer{receivedAt: now, loads: m.Loads, ownDataCentre: !otherDataCentre})
-	case !otherDataCentre && len(m.Loads) > 0:
-		e.decider.queuePeerLoads(peerLoads{receivedAt: now, name: m.Hello.From.Name, loads: m.Loads, aliveInstances: e.state.aliveInstances()})
+	case !otherDataCentre && len(m.Loads)+len(m.Pressures) > 0:
+		e.decider.queuePeerLoads(peerLoads{receivedAt: now, name: m.Hello.From.Name, loads: m.Loads, pressures: m.Pressures, aliveInstances: e.state.aliveInstances()})
 	}
 }
 
@@ -108,7 +108,7 @@
 // follower leaves out the loads and sends to more peers.
 func (e *exchange) sendState() {
 	defer e.guards.exchange.Contain()
-	m := wire.Message{Hello: e.state.hello()}
+	m := wire.Message{Hello: e.state.hello(), Pressures: e.decider.pressures()}
 	if !m.Hello.Following {
 		m.Loads = e.decider.loads()
 	}
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -39,10 +39,12 @@
 	healthStates  []prometheus.Gauge
 	healthChanges *prometheus.CounterVec
 	restarts      []prometheus.Counter
+	demandMetrics
 }
 
 func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration) *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
+	m.demandMetrics = newDemandMetrics(m.registry)
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tanagerweir_entry_packets_total", Help: "Packets from callers, by the reason of the decision.",
 	}, []string{"reason"})
--- a/pkg/process/entry/received.go
+++ b/pkg/process/entry/received.go
@@ -6,7 +6,10 @@
 
 func (d *decider) receivePeerLoads(p peerLoads) {
 	defer d.guards.messages.Contain()
-	d.core.ReceiveLoads(p.receivedAt, p.name, p.loads, p.aliveInstances)
+	d.core.ReceivePressures(p.receivedAt, p.pressures)
+	if len(p.loads) > 0 {
+		d.core.ReceiveLoads(p.receivedAt, p.name, p.loads, p.aliveInstances)
+	}
 }
 
 // answerInquiry answers with what is known now, as the answer is sent at once.
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
@@ -27,6 +28,8 @@
 	// Loads answers such an inquiry.
 	Asked  []mark.Mark
 	Answer bool
+	// Pressures are the services that are short of capacity.
+	Pressures []admission.Pressure
 }
 
 // hundredths is the number of wire units in one running request.
@@ -59,6 +62,7 @@
 			AnswerMilliseconds: toMilliseconds(l.Evidence.AnswerTime), EjectedLeftMilliseconds: toMilliseconds(l.EjectedLeft),
 		})
 	}
+	w.Pressures = pressuresToWire(m.Pressures)
 	if m.Batch != nil {
 		w.Batch = batchToWire(*m.Batch)
 	}
@@ -108,6 +112,7 @@
 	if err := checkRevisions(m.Hello.Revision, m.Hello.EarlyRevision); err != nil {
 		return Message{}, err
 	}
+	m.Pressures = pressuresFromWire(w.GetPressures())
 	if w.GetBatch() != nil {
 		batch := batchFromWire(w.GetBatch())
 		if err := checkBatch(batch); err != nil {
