--- a/pkg/emulation/emulation.go
+++ b/pkg/emulation/emulation.go
@@ -46,10 +46,12 @@
 	Classes      []ServiceLevel
 	DataCentres  []ServiceLevel
 	Windows      []ServiceLevel
-	// StoreCalls counts the calls of all instances to the store, and BytesBetween
-	// the bytes between data centres.
-	StoreCalls   int
-	BytesBetween int
+	// StoreCalls counts the calls of all instances to the store, BusiestWrites those
+	// that write within the second that has most of them, and BytesBetween the bytes
+	// between data centres.
+	StoreCalls    int
+	BusiestWrites int
+	BytesBetween  int
 	// Faults lists the faults that were injected, one line each.
 	Faults []string
 	// Broken is the number of breaches of promises. Breaches lists the first 50.
@@ -76,7 +78,7 @@
 	t := w.tally
 	r := Result{
 		Day: w.day.Name, Seed: w.seed, Design: w.design, WorstWindows: t.worstWindowsBenefit(), All: t.total.withQuantiles(),
-		StoreCalls: w.store.callCount, BytesBetween: w.network.bytesBetweenCentres, Faults: w.injectedFaults,
+		StoreCalls: w.store.callCount, BusiestWrites: w.store.busiestWrites, BytesBetween: w.network.bytesBetweenCentres, Faults: w.injectedFaults,
 		Broken: w.checker.breachCount, Breaches: w.checker.breaches,
 	}
 	for _, c := range w.day.Classes {
--- a/pkg/emulation/store.go
+++ b/pkg/emulation/store.go
@@ -43,6 +43,10 @@
 	// leaseEnds holds the time at which each lease ends.
 	leaseEnds map[uint64]time.Duration
 	callCount int
+	// writes holds the times of the calls that write within the last second, and
+	// busiestWrites the largest number of them so far.
+	writes        []time.Duration
+	busiestWrites int
 	// copies are made each copyPeriod on days on which the store may be restored, the
 	// oldest first.
 	copies []storeCopy
@@ -111,6 +115,9 @@
 // receive handles a call as it arrives.
 func (s *store) receive(c call) {
 	s.callCount++
+	if c.method == http.MethodPost {
+		s.countWrite()
+	}
 	switch status, refused := s.refused[c.from]; {
 	case s.down && s.busy:
 		c.respond(Answer{Status: http.StatusServiceUnavailable})
@@ -122,6 +129,13 @@
 	}
 }
 
+// countWrite counts a call that writes.
+func (s *store) countWrite() {
+	now := s.clock.Now()
+	s.writes = slices.DeleteFunc(append(s.writes, now), func(at time.Duration) bool { return at <= now-time.Second })
+	s.busiestWrites = max(s.busiestWrites, len(s.writes))
+}
+
 func (s *store) answerTime() time.Duration {
 	if s.slowFactor > 0 {
 		return time.Duration(float64(s.settings.AnswerTime) * s.slowFactor)
