Restore the store in the soak

Cause: the soak's store never returned from an older copy, so that no run with processes, sockets and signals met one.

Change: while faults are injected, the store returns again and again from a copy that is 1.5 to 4 s old, half of the time twice in a row; 0.5 s later the configuration and all entries are written again. The entry's start time is read under the server's lock, as the entry is now written from two goroutines.

--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -23,6 +23,7 @@
 	wait(ctx, time.Second)
 	var running sync.WaitGroup
 	defer running.Wait()
+	running.Go(func() { h.restoreStore(ctx) })
 	for end := time.Now().Add(h.options.For); time.Now().Before(end) && ctx.Err() == nil; {
 		duration := h.randomDuration(minFaultTime, maxFaultTime)
 		switch h.random.IntN(3) {
--- a/cmd/internal/soak/instance.go
+++ b/cmd/internal/soak/instance.go
@@ -207,17 +207,28 @@
 // configure writes the next version of the configuration. Odd versions have the
 // seasonal route, even ones don't.
 func (h *harness) configure() {
+	h.configuring.Lock()
+	defer h.configuring.Unlock()
 	h.mu.Lock()
 	h.version++
-	routes := []directory.Route{newRoute(boardRoute), newRoute(ledgerRoute)}
 	if h.version%2 == 1 {
-		routes = append(routes, newRoute(seasonalRoute))
 		delete(h.removed, seasonalRoute.String())
 	} else {
 		h.removed[seasonalRoute.String()] = time.Now()
 	}
-	c := directory.Configuration{Version: directory.Version(h.version), Routes: routes, IdleTimeout: 15 * time.Second}
+	version := h.version
 	h.mu.Unlock()
+	h.putConfiguration(version)
+}
+
+// putConfiguration writes a version of the configuration; odd ones have the seasonal
+// route.
+func (h *harness) putConfiguration(version int) {
+	routes := []directory.Route{newRoute(boardRoute), newRoute(ledgerRoute)}
+	if version%2 == 1 {
+		routes = append(routes, newRoute(seasonalRoute))
+	}
+	c := directory.Configuration{Version: directory.Version(version), Routes: routes, IdleTimeout: 15 * time.Second}
 	for _, name := range services {
 		c.Services = append(c.Services, directory.Service{Name: name, ColdFor: 2 * time.Second, ColdRate: 4})
 	}
--- a/cmd/internal/soak/server.go
+++ b/cmd/internal/soak/server.go
@@ -78,8 +78,11 @@
 
 // putEntry writes the server's entry to the store.
 func (s *server) putEntry(draining bool) {
+	s.mu.Lock()
+	started := s.startedMillis
+	s.mu.Unlock()
 	s.harness.store.PutServer(directory.Server{
-		ID: s.id, Service: s.service, DataCentre: s.centre, Endpoint: s.endpoint(), Slots: 3, Draining: draining, StartedMillis: s.startedMillis,
+		ID: s.id, Service: s.service, DataCentre: s.centre, Endpoint: s.endpoint(), Slots: 3, Draining: draining, StartedMillis: started,
 	})
 }
 
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -81,6 +81,9 @@
 	// tasks are the goroutines that run until the end.
 	tasks sync.WaitGroup
 
+	// configuring is held while a configuration is written.
+	configuring sync.Mutex
+
 	mu      sync.Mutex
 	servers []*server
 	version int
@@ -113,6 +116,7 @@
 	store, closeStore := standin.New()
 	defer closeStore()
 	h.store = store
+	h.store.SetEra(1)
 	if err := h.execute(ctx); err != nil {
 		return Report{}, err
 	}
