Take nothing from before a suspension for fresh

An instance that was suspended for seconds and resumed took hellos that had waited in its socket for new ones: its old replica counted as confirmed for 1.5 s, and flows to routes that were added meanwhile were reset. One read before the suspension and handled after it did the same. It also sent loads and ages from before the suspension, which other instances took for new signs of life, placed new flows by the old directory, and reset flows by answers about a data centre's silence from before.

Messages count from when they reached the socket (SO_TIMESTAMPNS on Linux), and are dropped after 1 s. A message or reset that was made more than 100 ms before it is sent is given up, loads older than 300 ms aren't sent. After a suspension of 1 s, openings are dropped until the directory is confirmed, for 400 ms at most. Answers to inquiries count for 1 s. A directory that was never confirmed refuses no route: an instance could get it at its start from one that was cut off.

On systems other than Linux, the time in the socket isn't known. The suspension of a virtual machine whose monotonic clock stops with it isn't noticed.

--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -195,8 +195,11 @@
 }
 
 // directoryFresh reports whether the directory is recent enough that an entry which
-// it lacks doesn't exist.
-func (c *Core) directoryFresh(now time.Duration) bool { return now-c.confirmed <= freshPeriod }
+// it lacks doesn't exist. A directory that was never confirmed isn't: an instance may have
+// got it at its start from another one that was cut off.
+func (c *Core) directoryFresh(now time.Duration) bool {
+	return c.confirmed > 0 && now-c.confirmed <= freshPeriod
+}
 
 // Decide returns what to do with a caller's packet. It allocates no memory in the
 // long run.
--- a/pkg/connection/forwarding/inquiry.go
+++ b/pkg/connection/forwarding/inquiry.go
@@ -13,6 +13,9 @@
 	// inquiryPeriod is the time between two inquiries about a server, and how long
 	// the answers to one count.
 	inquiryPeriod = 500 * time.Millisecond
+	// answersMaxAge is how long ago an inquiry may have been made whose answers count: two
+	// periods. They are older only if the instance was suspended since.
+	answersMaxAge = 2 * inquiryPeriod
 	// enoughAnswers is how many answers confirm that nobody saw a sign of life, or
 	// half of those that were asked, if these are fewer.
 	enoughAnswers = 4
@@ -56,7 +59,7 @@
 // enough reports whether enough of the instances that were asked at that time have
 // answered.
 func enough(now, askedAt time.Duration, asked, answered int) bool {
-	return askedAt > 0 && now-askedAt >= inquiryWait && answered >= min(enoughAnswers, (asked+1)/2)
+	return askedAt > 0 && now-askedAt >= inquiryWait && now-askedAt <= answersMaxAge && answered >= min(enoughAnswers, (asked+1)/2)
 }
 
 // Inquiries returns the backend servers to ask other instances about now: those that seem
--- a/pkg/emulation/instance.go
+++ b/pkg/emulation/instance.go
@@ -327,9 +327,10 @@
 	}
 	message := append([]byte{}, datagram...)
 	i.world.network.sendDatagram(&i.node, &other.node, len(message), func() {
+		arrived := i.world.clock.Now()
 		other.whenRunning(func() {
 			if other.engine != nil {
-				other.engine.HandleMessage(message, i.peerEndpoint)
+				other.engine.HandleMessage(message, i.peerEndpoint, i.world.clock.Now()-arrived)
 				other.fetchRequested()
 			}
 		})
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -45,8 +45,9 @@
 	// data centre it asked.
 	ask    func([]forwarding.Inquiry) int
 	answer func(loads []forwarding.Load, to netip.AddrPort)
-	// publishedLoads are the core's loads as of the last tick, for the exchange.
-	publishedLoads atomic.Pointer[[]forwarding.Load]
+	// published are the core's loads as of the last tick, for the exchange.
+	published  atomic.Pointer[publishedLoads]
+	suspension suspension
 }
 
 // peerLoads are the loads of backend servers that another instance reported.
@@ -89,6 +90,7 @@
 		heard: make(chan heard, peerReportQueue),
 	}
 	d.maxFlow.Store(int64(o.MaxFlow))
+	d.suspension.lastActive = h.Now()
 	return d
 }
 
@@ -141,11 +143,11 @@
 	}
 }
 
-// loads returns the loads that this instance's flows show, as of the last tick. The
-// caller must not change the slice.
+// loads returns the loads that this instance's flows show, as of the last tick, and none if
+// that is too long ago. The caller must not change the slice.
 func (d *decider) loads() []forwarding.Load {
-	if l := d.publishedLoads.Load(); l != nil {
-		return *l
+	if p := d.published.Load(); p != nil && d.host.Now()-p.at <= maxLoadsAge {
+		return p.loads
 	}
 	return nil
 }
@@ -229,6 +231,7 @@
 func (d *decider) tick() {
 	defer d.guards.ticks.Contain()
 	now := d.host.Now()
+	d.checkSuspension(now)
 	d.core.Tick(now, time.Duration(d.maxFlow.Load()))
 	if inquiries := d.core.Inquiries(now); len(inquiries) > 0 {
 		asked := d.ask(inquiries)
@@ -242,8 +245,7 @@
 		d.observer.recordServed(d.core.Served())
 	}
 	d.observer.logSummary(now)
-	loads := d.core.Loads(now)
-	d.publishedLoads.Store(&loads)
+	d.published.Store(&publishedLoads{at: now, loads: d.core.Loads(now)})
 }
 
 // recordArrival records the current time as that of the latest packet and returns
@@ -251,15 +253,17 @@
 func (d *decider) recordArrival() time.Duration {
 	now := d.host.Now()
 	d.lastPacket.Store(int64(now))
+	d.checkSuspension(now)
 	d.core.Confirm(now, time.Duration(d.confirmedAt.Load()))
 	return now
 }
 
 func (d *decider) handleBatch(b *batch) {
-	now := d.recordArrival()
+	d.recordArrival()
 	headroom := d.options.Format.Headroom()
 	for i := range b.count {
-		d.handlePacket(now, b.buffers[i][:headroom+b.messages[i].N])
+		// The clock is read for each packet, as the instance may be suspended between two.
+		d.handlePacket(d.host.Now(), b.buffers[i][:headroom+b.messages[i].N])
 	}
 }
 
@@ -272,7 +276,10 @@
 		d.observer.countMalformed()
 		return
 	}
-	decision := d.core.Decide(now, s)
+	decision := forwarding.Decision{Verdict: forwarding.Drop, Reason: forwarding.Unsynchronised}
+	if !d.awaitsConfirmation(now, s) {
+		decision = d.core.Decide(now, s)
+	}
 	id := ""
 	if s.Length > 0 {
 		// A request's header may extend into its second packet, so every packet with
@@ -287,6 +294,9 @@
 		d.options.Format.SetDestination(datagram, decision.Number, uint32(decision.Mark))
 		d.host.SendPacket(datagram, s.Flow.Hash(), decision.Endpoint)
 	case forwarding.Reset:
+		if d.host.Now()-now > maxSendDelay {
+			return // The caller may use its port for another flow by now.
+		}
 		d.resetBuffer = d.options.Format.AppendReset(d.resetBuffer[:0], s)
 		d.host.SendPacket(d.resetBuffer, s.Flow.Hash(), netip.AddrPortFrom(s.Flow.Caller.Addr(), d.options.Packets.Port()))
 	}
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -71,6 +71,8 @@
 	e.fetcher.relay = e.exchange.relay
 	e.decider.ask, e.decider.answer = e.exchange.ask, e.exchange.answer
 	metrics.count("tanagerweir_entry_unusable_entries_total", "Entries read from the store that couldn't be used.", e.state.unusable.Load)
+	metrics.count("tanagerweir_entry_suspensions_total", "Times that the process was suspended for a second or longer.", e.decider.suspension.count.Load)
+	metrics.count("tanagerweir_entry_late_messages_total", "Messages of other instances dropped since they had waited too long, received or to be sent.", e.exchange.late.Load)
 	link := &linkBudget{bytesPerSecond: o.LinkBytesPerSecond}
 	e.replicas = newReplicaServer(o, e.state, link, h.Now)
 	metrics.count("tanagerweir_entry_refused_fetches_total", "Fetches of other instances refused since the link's share was used up.", e.replicas.refused.Load)
@@ -92,9 +94,10 @@
 	e.decider.handlePacket(e.decider.recordArrival(), datagram)
 }
 
-// HandleMessage handles a message of another instance.
-func (e *Engine) HandleMessage(datagram []byte, from netip.AddrPort) {
-	e.exchange.receive(datagram, from)
+// HandleMessage handles a message of another instance, which has waited in the socket since
+// it arrived, as while the process was suspended.
+func (e *Engine) HandleMessage(datagram []byte, from netip.AddrPort, waited time.Duration) {
+	e.exchange.receive(datagram, from, e.host.Now()-waited)
 	e.decider.applyQueued()
 }
 
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -42,15 +42,17 @@
 	guards     *guards
 	// announcedRevision is the revision of the replica at the last announcement.
 	announcedRevision atomic.Uint64
+	// late counts messages that were dropped since they had waited for too long.
+	late atomic.Uint64
 }
 
 func newExchange(o Options, s *state, d *decider, f *fetcher, h Host) *exchange {
 	return &exchange{host: h, state: s, decider: d, fetcher: f, log: o.Logger, name: o.Name, dataCentre: o.DataCentre}
 }
 
-func (e *exchange) receive(datagram []byte, from netip.AddrPort) {
+// receive handles a message that reached the socket at the given time.
+func (e *exchange) receive(datagram []byte, from netip.AddrPort, at time.Duration) {
 	defer e.guards.received.Contain()
-	now := e.host.Now()
 	m, err := wire.Decode(datagram)
 	if err != nil {
 		e.log.Debug("Exchange: a datagram can't be decoded as a message of an instance.", "From", from, "Error", err)
@@ -59,11 +61,16 @@
 	if m.Hello.From.Name == e.name {
 		return
 	}
+	if waited := e.host.Now() - at; waited > maxMessageWait {
+		e.late.Add(1)
+		e.log.Debug("Exchange: a message was dropped since it had waited too long.", "From", m.Hello.From.Name, "Waited", waited)
+		return
+	}
 	otherDataCentre := m.Hello.From.DataCentre != e.dataCentre
 	if otherDataCentre {
-		e.decider.queueHeard(heard{receivedAt: now, dataCentre: m.Hello.From.DataCentre})
+		e.decider.queueHeard(heard{receivedAt: at, dataCentre: m.Hello.From.DataCentre})
 	}
-	advanced, newer := e.state.receiveHello(m.Hello, m.Batch)
+	advanced, newer := e.state.receiveHello(at, m.Hello, m.Batch)
 	if advanced && otherDataCentre {
 		e.relay()
 	}
@@ -75,9 +82,9 @@
 	}
 	switch {
 	case m.Answer:
-		e.decider.queueAnswer(answer{receivedAt: now, loads: m.Loads, ownDataCentre: !otherDataCentre})
+		e.decider.queueAnswer(answer{receivedAt: at, loads: m.Loads, ownDataCentre: !otherDataCentre})
 	case !otherDataCentre && len(m.Loads) > 0:
-		e.decider.queuePeerLoads(peerLoads{receivedAt: now, name: m.Hello.From.Name, loads: m.Loads, aliveInstances: e.state.aliveInstances()})
+		e.decider.queuePeerLoads(peerLoads{receivedAt: at, name: m.Hello.From.Name, loads: m.Loads, aliveInstances: e.state.aliveInstances()})
 	}
 }
 
@@ -99,6 +106,7 @@
 // follower leaves out the loads and sends to more peers.
 func (e *exchange) sendState() {
 	defer e.guards.exchange.Contain()
+	began := e.host.Now()
 	m := wire.Message{Hello: e.state.hello()}
 	if !m.Hello.Following {
 		m.Loads = e.decider.loads()
@@ -108,7 +116,7 @@
 		return
 	}
 	limit := int(controlBytesPerSecond * ExchangePeriod.Seconds() / float64(len(datagram)))
-	e.sendDatagram(datagram, e.state.periodPeers(max(limit, 1)))
+	e.sendDatagram(began, datagram, e.state.periodPeers(max(limit, 1)))
 }
 
 // ask sends inquiries about backend servers to the instances of this data centre and to
@@ -127,14 +135,14 @@
 		if dataCentre == e.dataCentre {
 			asked = len(to)
 		}
-		e.send(wire.Message{Hello: e.state.hello(), Asked: marks[dataCentre]}, to)
+		e.send(e.host.Now(), wire.Message{Hello: e.state.hello(), Asked: marks[dataCentre]}, to)
 	}
 	return asked
 }
 
 // answer answers an inquiry of another instance.
 func (e *exchange) answer(loads []forwarding.Load, to netip.AddrPort) {
-	e.send(wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true}, []netip.AddrPort{to})
+	e.send(e.host.Now(), wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true}, []netip.AddrPort{to})
 }
 
 // push announces changes from the store to other instances.
@@ -146,13 +154,14 @@
 // announce sends the hello and, where they fit into a message, the changes since the
 // last announcement. Peers fetch what doesn't fit.
 func (e *exchange) announce(to []netip.AddrPort) {
+	began := e.host.Now()
 	h := e.state.hello()
 	b := e.state.since(e.announcedRevision.Swap(h.Revision))
 	m := wire.Message{Hello: h}
 	if !b.Whole && batchSize(b) <= maxBatchBytes {
 		m.Batch = &b
 	}
-	e.send(m, to)
+	e.send(began, m, to)
 }
 
 // batchSize estimates the encoded size of a batch in bytes.
@@ -165,9 +174,10 @@
 	return total
 }
 
-func (e *exchange) send(m wire.Message, to []netip.AddrPort) {
+// send sends a message that was begun at the given time.
+func (e *exchange) send(began time.Duration, m wire.Message, to []netip.AddrPort) {
 	if datagram, ok := e.encode(m); ok {
-		e.sendDatagram(datagram, to)
+		e.sendDatagram(began, datagram, to)
 	}
 }
 
@@ -183,8 +193,14 @@
 	return datagram, true
 }
 
-func (e *exchange) sendDatagram(datagram []byte, to []netip.AddrPort) {
+// sendDatagram sends a message that was begun at the given time, unless that is too long
+// ago: the ages in it would be wrong.
+func (e *exchange) sendDatagram(began time.Duration, datagram []byte, to []netip.AddrPort) {
 	for _, endpoint := range to {
+		if e.host.Now()-began > maxSendDelay {
+			e.late.Add(1)
+			return
+		}
 		e.host.SendMessage(datagram, endpoint)
 	}
 }
--- a/pkg/process/entry/fuzz_test.go
+++ b/pkg/process/entry/fuzz_test.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/netip"
 	"strings"
@@ -61,28 +62,35 @@
 // newEngine returns an engine on a still host, with one route and one server, and what it
 // logs. Its replica has revision 8, confirmed at 10 s.
 func newEngine(t testing.TB, host *stillHost) (*entry.Engine, *lockedBuffer) {
+	t.Helper()
+	var log lockedBuffer
+	return newEngineAt(t, host, 10*time.Second, 0, &log), &log
+}
+
+// newEngineAt returns an engine that gets its replica at a time since its start, from an
+// instance whose replica was confirmed age before.
+func newEngineAt(t testing.TB, host *stillHost, now, age time.Duration, log io.Writer) *entry.Engine {
 	t.Helper()
 	store, closeStore := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"))
 	t.Cleanup(closeStore)
-	var log lockedBuffer
-	host.now = 10 * time.Second
+	host.now = now
 	e, err := entry.NewEngine(entry.Options{
 		Name: "entry-1", DataCentre: "near", Peers: netip.MustParseAddrPort("127.0.0.1:7720"), Format: platform.Format{}, Store: store,
 		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
 		Translate:   platform.Translate, EncodeInstance: platform.EncodeInstance, EarlyPrefixes: platform.EarlyPrefixes(),
-		MaxFlow: time.Minute, ColdFactor: 1.5, ColdSlack: 5, Seed: 1, Logger: slog.New(slog.NewJSONHandler(&log, nil)),
+		MaxFlow: time.Minute, ColdFactor: 1.5, ColdSlack: 5, Seed: 1, Logger: slog.New(slog.NewJSONHandler(log, nil)),
 	}, host)
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.HandleMessage(message(t, "entry-2", 8, 0, &replica.Batch{Whole: true, Revision: 8, Changes: []replica.Change{
+	e.HandleMessage(message(t, "entry-2", 8, age, &replica.Batch{Whole: true, Revision: 8, Changes: []replica.Change{
 		{Key: "op/config", Value: fmt.Appendf(nil, configuration, 1), Revision: 7},
 		{Key: "servers/i-1", Value: []byte(`{"service":"board","address":"10.0.0.1:80","zone":"near","slots":3,"state":"ready","coldLeftMs":0}`), Revision: 8},
-	}}), netip.AddrPort{})
+	}}), netip.AddrPort{}, 0)
 	if !e.Ready() {
-		t.Fatalf("not ready: %s", log.String())
+		t.Fatal("not ready")
 	}
-	return e, &log
+	return e
 }
 
 // message returns the datagram with an instance's hello.
@@ -112,7 +120,7 @@
 		}
 		host := &stillHost{}
 		e, log := newEngine(t, host)
-		e.HandleMessage(datagram, netip.MustParseAddrPort("127.0.0.1:7722"))
+		e.HandleMessage(datagram, netip.MustParseAddrPort("127.0.0.1:7722"), 0)
 		for range 3 {
 			e.HandlePacket(append(make([]byte, platform.AddresseeBytes), packet...))
 			host.now += 200 * time.Millisecond
--- a/pkg/process/entry/sockets.go
+++ b/pkg/process/entry/sockets.go
@@ -42,6 +42,9 @@
 		r.close()
 		return nil, errors.Wrap(err, "listen for messages of instances")
 	}
+	if err := stampArrivals(peers); err != nil {
+		o.Logger.Warn("Exchange: the socket doesn't tell when messages arrive; old ones may count as new.", "Error", err)
+	}
 	// Other instances come and go, so connections aren't kept alive.
 	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	s := &sockets{startedAt: time.Now(), receiver: r, peers: peers, client: &http.Client{Transport: t}, log: o.Logger}
@@ -56,12 +59,13 @@
 	_ = s.peers.Close() // nothing is left to write
 }
 
-// run passes messages of other instances to receive until the sockets are closed.
+// run passes messages of other instances to receive until the sockets are closed, with the
+// time at which they reached the socket.
 // The datagram is valid only during the call.
-func (s *sockets) run(receive func(datagram []byte, from netip.AddrPort)) {
-	buffer := make([]byte, 1<<16)
+func (s *sockets) run(receive func(datagram []byte, from netip.AddrPort, at time.Duration)) {
+	buffer, control := make([]byte, 1<<16), make([]byte, controlBytes)
 	for {
-		n, from, err := s.peers.ReadFromUDPAddrPort(buffer)
+		n, controlled, _, from, err := s.peers.ReadMsgUDPAddrPort(buffer, control)
 		if s.closed.Load() {
 			return
 		}
@@ -69,7 +73,10 @@
 			s.log.Debug("Exchange: a datagram can't be read from the socket.", "Error", err)
 			continue
 		}
-		receive(buffer[:n], from)
+		// The clock is read first: if the process is suspended meanwhile, the message looks
+		// older than it is, and never newer.
+		now := s.Now()
+		receive(buffer[:n], from, now-waitedInSocket(control[:controlled]))
 	}
 }
 
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -197,10 +197,10 @@
 	return ok && found == self
 }
 
-// receiveHello handles another instance's hello and the changes sent with it, if
-// any. It reports whether the changes advanced the replica, and whether the other
+// receiveHello handles another instance's hello, which reached the socket at the given
+// time, and the changes sent with it, if any. It reports whether the changes advanced the replica, and whether the other
 // instance's replica has still more.
-func (s *state) receiveHello(h membership.Hello, b *replica.Batch) (advanced, newer bool) {
+func (s *state) receiveHello(at time.Duration, h membership.Hello, b *replica.Batch) (advanced, newer bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.positionLocked()
@@ -210,7 +210,7 @@
 	own := s.positionLocked()
 	current := own.revision > 0 && own.revision >= h.Revision && h.Revision > 0
 	following := s.members.Following()
-	s.members.ReceiveHello(s.now(), h, current)
+	s.members.ReceiveHello(at, h, current)
 	if following && !s.members.Following() {
 		s.log.InfoContext(logs.Always(), "Follower: stops following the store, as another instance does.", "Other", h.From.Name, "Follower", s.members.Follower())
 	}
