--- a/pkg/connection/forwarding/port_reuse_test.go
+++ b/pkg/connection/forwarding/port_reuse_test.go
@@ -1,6 +1,7 @@
 package forwarding_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -133,3 +134,41 @@
 		t.Errorf("%+v", d)
 	}
 }
+
+// The server of an earlier copy may have answered, and an unrepeatable request may run: a
+// reset of the next copy would tell its caller that the flow never opened.
+func TestCopyOfAnOpeningThatWasSentIsNotRefused(t *testing.T) {
+	for route, want := range map[netip.AddrPort]forwarding.Verdict{feedRoute: forwarding.Reset, signoffRoute: forwarding.Drop} {
+		c := newCore(oneServer(1, 1))
+		now := 10 * time.Second
+		p, _ := opened(t, c, now, route)
+		c.Adopt(now+100*time.Millisecond, oneServer(0, 2))
+		if d := c.Decide(now+200*time.Millisecond, p.open(1)); d.Verdict != want || d.Reason != forwarding.NoServer {
+			t.Errorf("copy to %v: %+v", route, d)
+		}
+		if d := c.Decide(now+210*time.Millisecond, newCaller(route).open(0)); d.Verdict != forwarding.Reset {
+			t.Errorf("new flow to %v: %+v", route, d)
+		}
+		if d := c.Decide(now+220*time.Millisecond, p.request()); d.Verdict != forwarding.Forward {
+			t.Errorf("request to %v: %+v", route, d)
+		}
+	}
+}
+
+// A request that may not run twice must not be asked for again by its caller because an
+// instance ended its flow: without an answer, only flows of repeatable routes are given up.
+func TestOpenFlowOfAnUnrepeatableRequestIsNeverReset(t *testing.T) {
+	c := newCore(oneServer(1, 1))
+	now := 10 * time.Second
+	p, _ := opened(t, c, now, signoffRoute)
+	request := p.request()
+	c.Decide(now+10*time.Millisecond, request)
+	c.Adopt(now+time.Second, directory.New().WithConfiguration(directory.Configuration{Version: 2}))
+	for at := now + time.Second; at < now+30*time.Second; at += 200 * time.Millisecond {
+		c.Confirm(at, at)
+		c.Tick(at, maxFlow)
+		if d := c.Decide(at, request); d.Verdict != forwarding.Forward {
+			t.Fatalf("%v after the request: %+v", at-now, d)
+		}
+	}
+}
