--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -51,15 +51,17 @@
 	health bool
 	// noticeBytes counts the bytes of notices in the present ExchangePeriod.
 	noticeBytes atomic.Int64
+	// late counts messages that were dropped since they had waited for too long.
+	late atomic.Uint64
 }
 
 func newExchange(o Options, s *state, d *decider, f *fetcher, h Host) *exchange {
 	return &exchange{host: h, state: s, decider: d, fetcher: f, log: o.Logger, name: o.Name, dataCentre: o.DataCentre, health: o.Health.Active()}
 }
 
-func (e *exchange) receive(datagram []byte, from netip.AddrPort) {
+// receive handles a message that reached the socket at the given time.
+func (e *exchange) receive(datagram []byte, from netip.AddrPort, at time.Duration) {
 	defer e.guards.received.Contain()
-	now := e.host.Now()
 	m, err := wire.Decode(datagram)
 	if err != nil {
 		e.log.Debug("Exchange: a datagram can't be decoded as a message of an instance.", "From", from, "Error", err)
@@ -68,11 +70,16 @@
 	if m.Hello.From.Name == e.name {
 		return
 	}
+	if waited := e.host.Now() - at; waited > maxMessageWait {
+		e.late.Add(1)
+		e.log.Debug("Exchange: a message was dropped since it had waited too long.", "From", m.Hello.From.Name, "Waited", waited)
+		return
+	}
 	otherDataCentre := m.Hello.From.DataCentre != e.dataCentre
 	if otherDataCentre {
-		e.decider.queueHeard(heard{receivedAt: now, dataCentre: m.Hello.From.DataCentre})
+		e.decider.queueHeard(heard{receivedAt: at, dataCentre: m.Hello.From.DataCentre})
 	}
-	advanced, newer := e.state.receiveHello(m.Hello, m.Batch)
+	advanced, newer := e.state.receiveHello(at, m.Hello, m.Batch)
 	if advanced && otherDataCentre {
 		e.relay()
 	}
@@ -84,9 +91,9 @@
 	}
 	switch {
 	case m.Answer:
-		e.decider.queueAnswer(answer{receivedAt: now, loads: m.Loads, ownDataCentre: !otherDataCentre})
+		e.decider.queueAnswer(answer{receivedAt: at, loads: m.Loads, ownDataCentre: !otherDataCentre})
 	case !otherDataCentre && len(m.Loads)+len(m.Pressures) > 0:
-		e.decider.queuePeerLoads(peerLoads{receivedAt: now, name: m.Hello.From.Name, loads: m.Loads, pressures: m.Pressures, aliveInstances: e.state.aliveInstances()})
+		e.decider.queuePeerLoads(peerLoads{receivedAt: at, name: m.Hello.From.Name, loads: m.Loads, pressures: m.Pressures, aliveInstances: e.state.aliveInstances()})
 	}
 }
 
@@ -108,6 +115,7 @@
 // follower leaves out the loads and sends to more peers.
 func (e *exchange) sendState() {
 	defer e.guards.exchange.Contain()
+	began := e.host.Now()
 	m := wire.Message{Hello: e.state.hello(), Pressures: e.decider.pressures()}
 	if !m.Hello.Following {
 		m.Loads = e.decider.loads()
@@ -119,15 +127,15 @@
 	notices := int(e.noticeBytes.Swap(0))
 	limit := (periodBytes - notices) / len(datagram)
 	if !e.health || m.Hello.Following {
-		e.sendDatagram(datagram, e.state.periodPeers(max(limit, 1)))
+		e.sendDatagram(began, datagram, e.state.periodPeers(max(limit, 1)))
 		return
 	}
 	if limit = e.affordable(len(datagram), notices); limit == 0 {
 		// Other data centres still have to hear of this instance.
-		e.send(wire.Message{Hello: m.Hello}, e.state.periodPeers(0))
+		e.send(began, wire.Message{Hello: m.Hello}, e.state.periodPeers(0))
 		return
 	}
-	e.sendDatagram(datagram, e.state.periodPeers(limit))
+	e.sendDatagram(began, datagram, e.state.periodPeers(limit))
 }
 
 // affordable adds a period's budget, less the bytes of notices, to what is left of the last one's, and returns how many
@@ -156,20 +164,21 @@
 		if dataCentre == e.dataCentre {
 			asked = len(to)
 		}
-		e.send(wire.Message{Hello: e.state.hello(), Asked: marks[dataCentre]}, to)
+		e.send(e.host.Now(), wire.Message{Hello: e.state.hello(), Asked: marks[dataCentre]}, to)
 	}
 	return asked
 }
 
 // answer answers an inquiry of another instance.
 func (e *exchange) answer(loads []forwarding.Load, to netip.AddrPort) {
-	e.send(wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true}, []netip.AddrPort{to})
+	e.send(e.host.Now(), wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true}, []netip.AddrPort{to})
 }
 
 // notify tells instances of this data centre of backend servers that may have been started
 // anew, in the form of an answer that nobody asked for. It takes at most the budget of one
 // period, so that reports leave room for it; the next reports repeat what it says.
 func (e *exchange) notify(loads []forwarding.Load) {
+	began := e.host.Now()
 	datagram, ok := e.encode(wire.Message{Hello: e.state.hello(), Loads: loads, Answer: true})
 	if !ok {
 		return
@@ -180,7 +189,7 @@
 		return
 	}
 	e.noticeBytes.Add(int64(count * len(datagram)))
-	e.sendDatagram(datagram, to[:count])
+	e.sendDatagram(began, datagram, to[:count])
 }
 
 // push announces changes from the store to other instances.
@@ -192,6 +201,7 @@
 // announce sends the hello and, where they fit into a message, the changes since the
 // last announcement. Peers fetch what doesn't fit.
 func (e *exchange) announce(to []netip.AddrPort) {
+	began := e.host.Now()
 	h := e.state.hello()
 	last := replica.Position{}
 	if p := e.announced.Swap(&replica.Position{Era: h.Era, Revision: h.Revision}); p != nil {
@@ -202,7 +212,7 @@
 	if !b.Whole && batchSize(b) <= maxBatchBytes {
 		m.Batch = &b
 	}
-	e.send(m, to)
+	e.send(began, m, to)
 }
 
 // batchSize estimates the encoded size of a batch in bytes.
@@ -215,9 +225,10 @@
 	return total
 }
 
-func (e *exchange) send(m wire.Message, to []netip.AddrPort) {
+// send sends a message that was begun at the given time.
+func (e *exchange) send(began time.Duration, m wire.Message, to []netip.AddrPort) {
 	if datagram, ok := e.encode(m); ok {
-		e.sendDatagram(datagram, to)
+		e.sendDatagram(began, datagram, to)
 	}
 }
 
@@ -233,8 +244,14 @@
 	return datagram, true
 }
 
-func (e *exchange) sendDatagram(datagram []byte, to []netip.AddrPort) {
+// sendDatagram sends a message that was begun at the given time, unless that is too long
+// ago: the ages in it would be wrong.
+func (e *exchange) sendDatagram(began time.Duration, datagram []byte, to []netip.AddrPort) {
 	for _, endpoint := range to {
+		if e.host.Now()-began > maxSendDelay {
+			e.late.Add(1)
+			return
+		}
 		e.host.SendMessage(datagram, endpoint)
 	}
 }
