Let instances of the server's data centre send to cold servers first

Cause: the instances that may send to a cold server, or try one that may have ended, were drawn from all instances. In deployments with several data centres they were often remote ones, which have no flow for it as long as their own servers serve, so that nobody tried it and the doubt lasted. Others also learnt only with the next reports that it answers again, and sent it trials meanwhile (five-centres 17: 12 flows in a second from four instances).

Change: half of the instances that may send are those of the server's data centre, as far as it has any. The first answer after a sign is told at once, like the sign. An instance that was told doesn't repeat it.

--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -71,7 +71,7 @@
 		return false
 	}
 	senders := int(coldShare * (service.ColdRate*c.options.ColdFactor + c.options.ColdSlack))
-	return c.senderRank(v) < senders
+	return c.sendsCold(v, senders)
 }
 
 func (c *Core) candidate(now time.Duration, v *server) placement.Candidate {
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -25,10 +25,11 @@
 	// coldByEntry says that coldUntil is from the entry.
 	coldByEntry bool
 	restart     restart
-	// senderRank is this instance's rank among those that send to the server while it is
-	// cold, as of a generation of the registered instances.
-	senderRank, senderGeneration int
-	observed                     observations
+	// sends says whether this instance is one of sendersCount that send to the server while
+	// it is cold, as of a generation of the registered instances.
+	sends                           bool
+	sendersCount, sendersGeneration int
+	observed                        observations
 	// state is the state as of the last event, and silentAt when it last became Silent.
 	state    ServerState
 	silentAt time.Duration
--- a/pkg/connection/forwarding/restart.go
+++ b/pkg/connection/forwarding/restart.go
@@ -44,7 +44,7 @@
 	runFrom, runTo time.Duration
 	// settled is the time up to which signs no longer count.
 	settled time.Duration
-	// announced says that other instances were told of the signs.
+	// announced says that other instances were told of the signs, or of the answer since.
 	announced bool
 }
 
@@ -109,7 +109,7 @@
 		return
 	}
 	if r.firstSign == 0 {
-		r.firstSign, r.lastSign, r.startedBy, r.announced = sent, sent, 0, false
+		r.firstSign, r.lastSign, r.startedBy = sent, sent, 0
 		r.unanswered = unanswered
 		c.addRestartEvent(now, v, Doubted)
 		return
@@ -138,6 +138,9 @@
 		c.settle(now, v, SameProcess, now-answerTime)
 		return
 	}
+	if r.startedBy == 0 {
+		r.announced, c.noticesDue = false, true
+	}
 	r.recordStarted(r.runFrom)
 }
 
@@ -155,7 +158,7 @@
 	if r.firstSign > 0 {
 		c.addRestartEvent(now, v, o)
 	}
-	r.firstSign, r.lastSign, r.startedBy, r.settled = 0, 0, 0, max(r.settled, until)
+	r.firstSign, r.lastSign, r.startedBy, r.announced, r.settled = 0, 0, 0, false, max(r.settled, until)
 }
 
 // settleSigns ends the questions that answers, the directory or time have decided.
@@ -270,6 +273,11 @@
 		if !ok {
 			continue
 		}
+		if l.Failures == 0 && l.ColdLeft == 0 {
+			continue
+		}
+		// The others were told, too.
+		v.restart.announced = true
 		if l.Failures > 0 {
 			c.recordSign(now, v, now-l.FailedAge-answerTime, l.Failures)
 		}
@@ -282,7 +290,7 @@
 }
 
 // Notices returns what other instances of the data centre should know at once: servers that
-// may have been started anew, and that they weren't told of yet.
+// may have ended, or that answer again, and that they weren't told of yet.
 func (c *Core) Notices(now time.Duration) []Load {
 	if !c.noticesDue {
 		return nil
@@ -293,7 +301,7 @@
 		if len(loads) == maxNotices {
 			break
 		}
-		if r := &v.restart; r.firstSign > 0 && !r.announced && v.observed.failures > 0 {
+		if r := &v.restart; r.firstSign > 0 && !r.announced && (v.observed.failures > 0 || r.startedBy > 0) {
 			r.announced = true
 			loads = append(loads, c.load(now, v))
 		}
--- a/pkg/connection/forwarding/senders.go
+++ b/pkg/connection/forwarding/senders.go
@@ -4,44 +4,71 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
-// senders knows the rank of this instance among all registered ones for each cold backend
-// server. Ranks are kept, as ordering all instances takes too long for each packet.
+// senders knows whether this instance is one of those that send to a backend server while
+// it is cold. The answers are kept, as ordering all instances takes too long for each packet.
 type senders struct {
-	// names are the registered instances' names. They are read again after stale was set,
-	// and generation counts their changes.
-	names      []string
+	// instances are the registered ones. They are read again after stale was set, and
+	// generation counts their changes.
+	instances  []directory.Instance
 	stale      bool
 	generation int
 }
 
-// senderRank returns how many instances come before this one for the backend server: as
-// many of the first ones as its bound allows send to it while it is cold. The order is the
-// same everywhere.
-func (c *Core) senderRank(v *server) int {
-	if s := &c.senders; s.stale || s.generation == 0 {
-		names := make([]string, 0, len(s.names))
-		for _, i := range c.directory.Instances() {
-			names = append(names, i.Name)
-		}
-		if s.generation == 0 || !slices.Equal(names, s.names) {
-			s.names = names
+// sendsCold reports whether this instance is one of so many that send to the backend server
+// while it is cold. The choice is the same everywhere: half of them are instances of the
+// server's data centre, which have the most flows for it, and the others are any.
+func (c *Core) sendsCold(v *server, count int) bool {
+	s := &c.senders
+	if s.stale || s.generation == 0 {
+		instances := c.directory.Instances()
+		if s.generation == 0 || !slices.Equal(instances, s.instances) {
+			s.instances = instances
 			s.generation++
 		}
 		s.stale = false
 	}
-	if v.senderGeneration == c.senders.generation {
-		return v.senderRank
+	if v.sendersGeneration != s.generation || v.sendersCount != count {
+		v.sendersGeneration, v.sendersCount = s.generation, count
+		v.sends = c.chosen(v, count)
+	}
+	return v.sends
+}
+
+// chosen makes the choice of sendsCold.
+func (c *Core) chosen(v *server, count int) bool {
+	if count <= 0 {
+		return false
 	}
+	local := (count + 1) / 2
 	own := senderOrder(c.options.Name, v.ID)
-	v.senderRank, v.senderGeneration = 0, c.senders.generation
-	for _, name := range c.senders.names {
-		if name != c.options.Name && senderOrder(name, v.ID) < own {
-			v.senderRank++
+	ownLocal := c.options.DataCentre == v.DataCentre
+	var orders []uint64 // of other instances of the server's data centre
+	for _, i := range c.senders.instances {
+		if i.DataCentre == v.DataCentre && i.Name != c.options.Name {
+			orders = append(orders, senderOrder(i.Name, v.ID))
+		}
+	}
+	slices.Sort(orders)
+	if ownLocal {
+		local = min(local, len(orders)+1)
+	} else {
+		local = min(local, len(orders))
+	}
+	if before, _ := slices.BinarySearch(orders, own); ownLocal && before < local {
+		return true
+	}
+	orders = orders[min(local, len(orders)):]
+	before, _ := slices.BinarySearch(orders, own)
+	for _, i := range c.senders.instances {
+		if i.DataCentre != v.DataCentre && i.Name != c.options.Name && senderOrder(i.Name, v.ID) < own {
+			before++
 		}
 	}
-	return v.senderRank
+	return before < count-local
 }
 
 // senderOrder orders the instances for one backend server, in the same way everywhere.
