Describe how servers that may have been started anew are treated, and test more of it

The tests added fail when the code is broken by hand: answers of a server that answers others each 0.15 s, and the choice of instances that send to a cold server. The test of the bound after a restart has 24 instances instead of nine, as nine stayed within the bound also without any restriction before the first answer.

--- a/pkg/connection/forwarding/restart_test.go
+++ b/pkg/connection/forwarding/restart_test.go
@@ -79,7 +79,7 @@
 // A server that was down for longer than a suspicion lasted, and had one flow at each
 // instance meanwhile, got flows as a warm one (drawn day five-centres, seed 33).
 func TestServerThatRestartsWithoutEntryStaysWithinTheColdBound(t *testing.T) {
-	cores := fleetOf(neighbours(4, 9))
+	cores := fleetOf(neighbours(4, 24))
 	server := serverOf(feedService, near, 1).ID
 	run(cores, 0, time.Second, 20*time.Millisecond, server, false)
 	run(cores, time.Second, 2800*time.Millisecond, 20*time.Millisecond, server, true)
@@ -192,6 +192,56 @@
 	}
 }
 
+// A server that answers others all the time wasn't started anew when one caller abandons its
+// opening.
+func TestSteadyAnswersEndTheDoubt(t *testing.T) {
+	c := newCore(neighbours(2, 1))
+	server := serverOf(feedService, near, 1).ID
+	for now := time.Second; now < 2*time.Second; now += 150 * time.Millisecond {
+		for range 20 {
+			p := newCaller(feedRoute)
+			d := c.Decide(now, p.open(0))
+			p.mark = uint32(d.Mark)
+			c.Decide(now+time.Millisecond, p.request())
+			c.Decide(now+2*time.Millisecond, p.acknowledge())
+			c.Decide(now+2*time.Millisecond, p.finish())
+		}
+		if now == 1300*time.Millisecond {
+			placedAt(c, now+10*time.Millisecond, server)
+		}
+		c.Tick(now+140*time.Millisecond, maxFlow)
+	}
+	if !placedAt(c, 2100*time.Millisecond, server) {
+		t.Error("got no flow after one abandoned opening")
+	}
+}
+
+// Remote instances have no flows for a cold server, so that it was never tried if all of the
+// chosen ones were remote.
+func TestInstancesOfTheServersDataCentreSendToItWhileCold(t *testing.T) {
+	for server := range 6 {
+		cold := serverOf(feedService, near, server+1)
+		cold.ColdLeft = time.Hour
+		d := configured().WithServer(cold)
+		for n := range 20 {
+			d = d.WithInstance(directory.Instance{Name: fmt.Sprintf("near-%d", n), DataCentre: near})
+			d = d.WithInstance(directory.Instance{Name: fmt.Sprintf("far-%d", n), DataCentre: far})
+		}
+		senders := make(map[string]int)
+		for _, i := range d.Instances() {
+			c := forwarding.New(forwarding.Options{Name: i.Name, DataCentre: i.DataCentre, Seed: 1, ColdFactor: 1.5, ColdSlack: 5})
+			c.Confirm(0, 1)
+			c.Adopt(0, d)
+			if c.Decide(time.Millisecond, newCaller(feedRoute).open(0)).Verdict == forwarding.Forward {
+				senders[i.DataCentre]++
+			}
+		}
+		if senders[near] < 3 || senders[near]+senders[far] != 5 {
+			t.Errorf("server %s: senders %v, want 5 of which 3 or more are near", cold.ID, senders)
+		}
+	}
+}
+
 // An instance that has seen nothing of it learns at once that a server may have ended.
 func TestNoticeKeepsOthersWithinTheColdBound(t *testing.T) {
 	d := neighbours(4, 9)
