--- a/pkg/connection/forwarding/restart.go
+++ b/pkg/connection/forwarding/restart.go
@@ -176,7 +176,7 @@
 			c.settle(now, v, Lapsed, r.lastSign)
 		case c.entryConfirmed(v):
 			c.settle(now, v, EntryConfirmed, r.startedBy)
-		case r.startedBy > 0 && now >= r.startedBy+c.coldFor(v):
+		case c.warmedUp(now, v):
 			c.settle(now, v, WarmedUp, r.startedBy)
 		}
 	}
@@ -206,7 +206,18 @@
 	case r.startedBy == 0:
 		return c.confirmed < r.lastSign+signLapse
 	}
-	return now < r.startedBy+c.coldFor(v) && !c.entryConfirmed(v)
+	return !c.warmedUp(now, v) && !c.entryConfirmed(v)
+}
+
+// warmedUp reports whether the server has answered for as long as a server stays cold, up to
+// the last trial. Without an answer from the last part of that time it may have been started
+// anew again, and counts as cold for some more time.
+func (c *Core) warmedUp(now time.Duration, v *server) bool {
+	started, coldFor := v.restart.startedBy, c.coldFor(v)
+	if started == 0 || now < started+coldFor {
+		return false
+	}
+	return v.observed.lastSign() >= started+coldFor/2 || now >= started+signLapse
 }
 
 // entryConfirmed reports whether the server's entry was confirmed after the server answered
@@ -239,14 +250,15 @@
 	if v.restart.startedBy == 0 || !c.doubtful(now, v) {
 		return 0
 	}
-	return v.restart.startedBy + c.coldFor(v) - now
+	return max(v.restart.startedBy+c.coldFor(v)-now, 0)
 }
 
 // acceptsTrial reports whether a server that may have ended may get a flow that shows
-// whether it answers.
+// whether it answers, or, after it has answered, whether it still does so.
 func (c *Core) acceptsTrial(now time.Duration, v *server) bool {
-	return c.usable(now, v) && now >= v.coldUntil && v.restart.firstSign > 0 && v.restart.startedBy == 0 &&
-		!v.observed.suspected(now) && c.acceptsCold(now, v)
+	r := &v.restart
+	due := r.startedBy == 0 || now >= r.startedBy+c.coldFor(v)*3/5
+	return c.usable(now, v) && now >= v.coldUntil && r.firstSign > 0 && due && !v.observed.suspected(now) && c.acceptsCold(now, v)
 }
 
 // acceptsDoubtful reports whether a server that may be cold, and isn't by its entry, may
