--- a/pkg/connection/forwarding/bench_test.go
+++ b/pkg/connection/forwarding/bench_test.go
@@ -23,7 +23,7 @@
 		c.Routes = append(c.Routes, directory.Route{
 			Endpoint: routeOf(n), Kind: directory.Repeatable, Shares: []directory.Share{{Service: name, Weight: 1}},
 		})
-		c.Services = append(c.Services, directory.Service{Name: name})
+		c.Services = append(c.Services, directory.Service{Name: name, ColdFor: 2 * time.Second})
 	}
 	d := directory.New().WithConfiguration(c)
 	for n := range servers {
--- a/pkg/connection/forwarding/restart.go
+++ b/pkg/connection/forwarding/restart.go
@@ -12,7 +12,8 @@
 	entryDelay = 200 * time.Millisecond
 	// signLapse is how much later than a sign the directory has to be confirmed until the
 	// sign no longer counts although no instance of the data centre sees the server answer.
-	// Entries of servers that have ended expire in about that time.
+	// Entries of servers that have ended expire in about that time. It is also the longest
+	// time for which a server that answered once is restricted.
 	signLapse = 5 * time.Second
 	// shortestRestart is how long a backend server that is started anew answers nothing at
 	// least. Answers are acknowledged up to 40 ms late.
@@ -27,8 +28,9 @@
 // A packet that goes unanswered is a sign that the server has ended. From then on it gets
 // flows only as a cold server does, until one of these holds: it answers in a flow that was
 // open before the sign, as a server that ends loses its flows, or sooner than it could have
-// been started anew; it answers, and the directory
-// was confirmed since; or it has answered for as long as a server stays cold.
+// been started anew; it answers, and the directory was confirmed since; or it has answered
+// for as long as a server stays cold. Servers of services that are never cold aren't
+// restricted.
 type restart struct {
 	// firstSign and lastSign are when the first and the last packet was sent that is a
 	// sign, 0 if there is none.
@@ -105,7 +107,7 @@
 // many flows in a row. It is no sign if the server is known to have run on.
 func (c *Core) recordSign(now time.Duration, v *server, sent time.Duration, unanswered int) {
 	r := &v.restart
-	if sent <= r.settled || r.runFrom < sent && sent+answerTime <= r.runTo {
+	if c.coldFor(v) == 0 || sent <= r.settled || r.runFrom < sent && sent+answerTime <= r.runTo {
 		return
 	}
 	if r.firstSign == 0 {
--- a/pkg/connection/forwarding/restart_test.go
+++ b/pkg/connection/forwarding/restart_test.go
@@ -386,3 +386,20 @@
 		t.Errorf("%d of %d flows forwarded beside %d abandoned ones", served, asked, abandoned)
 	}
 }
+
+// Where servers are never cold, a suspected server that answers is as good as any.
+func TestServersThatAreNeverColdAreNotRestricted(t *testing.T) {
+	d := neighbours(3, 1)
+	d = d.WithConfiguration(directory.Configuration{
+		Version:  2,
+		Routes:   []directory.Route{{Endpoint: feedRoute, Kind: directory.Repeatable, Shares: []directory.Share{{Service: feedService, Weight: 1}}}},
+		Services: []directory.Service{{Name: feedService}},
+	})
+	c, server := doubted(t, d)
+	if !placedAt(c, 1500*time.Millisecond, server) {
+		t.Error("got no flow although it answers")
+	}
+	if events := c.RestartEvents(); len(events) > 0 {
+		t.Errorf("events %+v", events)
+	}
+}
