--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -118,7 +118,7 @@
 		return false
 	}
 	senders := int(coldShare * (service.ColdRate*c.options.ColdFactor + c.options.ColdSlack))
-	return c.senderRank(v) < senders
+	return c.sendsCold(v, senders)
 }
 
 // running returns the estimated number of requests that run or wait at the server.
--- a/pkg/connection/forwarding/restart.go
+++ b/pkg/connection/forwarding/restart.go
@@ -12,7 +12,8 @@
 	entryDelay = 200 * time.Millisecond
 	// signLapse is how much later than a sign the directory has to be confirmed until the
 	// sign no longer counts although no instance of the data centre sees the server answer.
-	// Entries of servers that have ended expire in about that time.
+	// Entries of servers that have ended expire in about that time. It is also the longest
+	// time for which a server that answered once is restricted.
 	signLapse = 5 * time.Second
 	// shortestRestart is how long a backend server that is started anew answers nothing at
 	// least. Answers are acknowledged up to 40 ms late.
@@ -27,8 +28,9 @@
 // A packet that goes unanswered is a sign that the server has ended. From then on it gets
 // flows only as a cold server does, until one of these holds: it answers in a flow that was
 // open before the sign, as a server that ends loses its flows, or sooner than it could have
-// been started anew; it answers, and the directory
-// was confirmed since; or it has answered for as long as a server stays cold.
+// been started anew; it answers, and the directory was confirmed since; or it has answered
+// for as long as a server stays cold. Servers of services that are never cold aren't
+// restricted.
 type restart struct {
 	// firstSign and lastSign are when the first and the last packet was sent that is a
 	// sign, 0 if there is none.
@@ -44,7 +46,7 @@
 	runFrom, runTo time.Duration
 	// settled is the time up to which signs no longer count.
 	settled time.Duration
-	// announced says that other instances were told of the signs.
+	// announced says that other instances were told of the signs, or of the answer since.
 	announced bool
 }
 
@@ -105,11 +107,11 @@
 // many flows in a row. It is no sign if the server is known to have run on.
 func (c *Core) recordSign(now time.Duration, v *server, sent time.Duration, unanswered int) {
 	r := &v.restart
-	if sent <= r.settled || r.runFrom < sent && sent+answerTime <= r.runTo {
+	if c.coldFor(v) == 0 || sent <= r.settled || r.runFrom < sent && sent+answerTime <= r.runTo {
 		return
 	}
 	if r.firstSign == 0 {
-		r.firstSign, r.lastSign, r.startedBy, r.announced = sent, sent, 0, false
+		r.firstSign, r.lastSign, r.startedBy = sent, sent, 0
 		r.unanswered = unanswered
 		c.addRestartEvent(now, v, Doubted)
 		return
@@ -138,6 +140,9 @@
 		c.settle(now, v, SameProcess, now-answerTime)
 		return
 	}
+	if r.startedBy == 0 {
+		r.announced, c.noticesDue = false, true
+	}
 	r.recordStarted(r.runFrom)
 }
 
@@ -155,7 +160,7 @@
 	if r.firstSign > 0 {
 		c.addRestartEvent(now, v, o)
 	}
-	r.firstSign, r.lastSign, r.startedBy, r.settled = 0, 0, 0, max(r.settled, until)
+	r.firstSign, r.lastSign, r.startedBy, r.announced, r.settled = 0, 0, 0, false, max(r.settled, until)
 }
 
 // settleSigns ends the questions that answers, the directory or time have decided.
@@ -173,7 +178,7 @@
 			c.settle(now, v, Lapsed, r.lastSign)
 		case c.entryConfirmed(v):
 			c.settle(now, v, EntryConfirmed, r.startedBy)
-		case r.startedBy > 0 && now >= r.startedBy+c.coldFor(v):
+		case c.warmedUp(now, v):
 			c.settle(now, v, WarmedUp, r.startedBy)
 		}
 	}
@@ -203,7 +208,18 @@
 	case r.startedBy == 0:
 		return c.confirmed < r.lastSign+signLapse
 	}
-	return now < r.startedBy+c.coldFor(v) && !c.entryConfirmed(v)
+	return !c.warmedUp(now, v) && !c.entryConfirmed(v)
+}
+
+// warmedUp reports whether the server has answered for as long as a server stays cold, up to
+// the last trial. Without an answer from the last part of that time it may have been started
+// anew again, and counts as cold for some more time.
+func (c *Core) warmedUp(now time.Duration, v *server) bool {
+	started, coldFor := v.restart.startedBy, c.coldFor(v)
+	if started == 0 || now < started+coldFor {
+		return false
+	}
+	return v.observed.lastSign() >= started+coldFor/2 || now >= started+signLapse
 }
 
 // entryConfirmed reports whether the server's entry was confirmed after the server answered
@@ -236,14 +252,15 @@
 	if v.restart.startedBy == 0 || !c.doubtful(now, v) {
 		return 0
 	}
-	return v.restart.startedBy + c.coldFor(v) - now
+	return max(v.restart.startedBy+c.coldFor(v)-now, 0)
 }
 
 // acceptsTrial reports whether a server that may have ended may get a flow that shows
-// whether it answers.
+// whether it answers, or, after it has answered, whether it still does so.
 func (c *Core) acceptsTrial(now time.Duration, v *server) bool {
-	return c.usable(now, v) && now >= v.coldUntil && v.restart.firstSign > 0 && v.restart.startedBy == 0 &&
-		!v.observed.suspected(now) && c.acceptsCold(now, v)
+	r := &v.restart
+	due := r.startedBy == 0 || now >= r.startedBy+c.coldFor(v)*3/5
+	return c.usable(now, v) && now >= v.coldUntil && r.firstSign > 0 && due && !v.observed.suspected(now) && c.acceptsCold(now, v)
 }
 
 // acceptsDoubtful reports whether a server that may be cold, and isn't by its entry, may
@@ -270,6 +287,11 @@
 		if !ok {
 			continue
 		}
+		if l.Failures == 0 && l.ColdLeft == 0 {
+			continue
+		}
+		// The others were told, too.
+		v.restart.announced = true
 		if l.Failures > 0 {
 			c.recordSign(now, v, now-l.FailedAge-answerTime, l.Failures)
 		}
@@ -282,7 +304,7 @@
 }
 
 // Notices returns what other instances of the data centre should know at once: servers that
-// may have been started anew, and that they weren't told of yet.
+// may have ended, or that answer again, and that they weren't told of yet.
 func (c *Core) Notices(now time.Duration) []Load {
 	if !c.noticesDue {
 		return nil
@@ -293,7 +315,7 @@
 		if len(loads) == maxNotices {
 			break
 		}
-		if r := &v.restart; r.firstSign > 0 && !r.announced && v.observed.failures > 0 {
+		if r := &v.restart; r.firstSign > 0 && !r.announced && (v.observed.failures > 0 || r.startedBy > 0) {
 			r.announced = true
 			loads = append(loads, c.load(now, v))
 		}
