Eject lasting outliers only, and test degraded servers against the present placement

Answers of up to 400 bytes count as errors only if they come faster than work takes, of up to 200 always. Where one server alone has evidence, flows move away but nothing is ejected.

--- a/pkg/connection/capacity/capacity.go
+++ b/pkg/connection/capacity/capacity.go
@@ -10,7 +10,7 @@
 //
 //	core := capacity.New(capacity.Options{})
 //	route := core.Route(endpoint, service)
-//	outcome := route.Classify(bytes)
+//	outcome := route.Classify(bytes, waited)
 //	server.RecordAnswer(now, route, waited, outcome)
 //	core.Update(now, service, servers, reporting, rank)
 //	if server.Accepts(now, repeatable) {
--- a/pkg/connection/capacity/eject.go
+++ b/pkg/connection/capacity/eject.go
@@ -17,9 +17,13 @@
 	leastReferenceShare = 0.02
 	// leastReference is the weight of the answers that the comparison needs.
 	leastReference = 5
-	// leastMargin is how much larger than the reference a server's share of failures has to
-	// be, plus half of the reference: servers that shed in a crowd differ from each other.
+	// leastMargin is how much larger than twice the reference a server's share of failures
+	// has to be: servers that shed in a crowd differ from each other.
 	leastMargin = 0.2
+	// outlierFor is how long a server has to be an outlier: when a crowd begins, the servers
+	// that are full first shed for some 0.3 s before others do. Meanwhile its risk leads flows
+	// elsewhere.
+	outlierFor = 600 * time.Millisecond
 	// greatestReference is the share of failures at other servers from which on a fault
 	// counts as common to all, such as a crowd, so that no server is ejected.
 	greatestReference = 0.3
@@ -41,11 +45,16 @@
 	priorWeight = 4
 	// riskTolerance is the excess of failures that counts for nothing.
 	riskTolerance = 0.05
+	// provenRisk is the excess of failures up to which a server has proven health. Servers
+	// that shed a few requests would otherwise leave all unrepeatable ones to the others,
+	// which are then full in turn.
+	provenRisk = 0.1
 	// leastSlowness is the ratio of answer times from which on a server counts as slow: the
-	// averages of few answers, and of servers in another data centre, differ by less.
-	leastSlowness = 1.8
+	// averages of few answers, and of servers in another data centre, differ by less, as do
+	// those of servers whose queues differ.
+	leastSlowness = 2.2
 	// slowAgain is the ratio below which a slow server no longer counts as slow.
-	slowAgain = 1.4
+	slowAgain = 1.7
 )
 
 // Fleet is what Update needs to know about the instances.
@@ -90,7 +99,7 @@
 	c.eject(now, service, allowed-ejected, f)
 	degraded := false
 	for _, v := range c.ranking {
-		v.proven = v.risk == 0 && v.slowness <= 1 && v.evidence.Answered-v.evidence.Failed >= leastWeight
+		v.proven = v.risk <= provenRisk && v.evidence.Answered-v.evidence.Failed >= leastWeight
 		degraded = degraded || v.risk > 0 || v.state != Healthy
 	}
 	c.group(service).degraded = degraded
@@ -114,16 +123,19 @@
 			rest--
 		}
 	}
-	reference := max(total.share(), leastReferenceShare)
+	// With too few answers to compare with, flows move to other servers, whose answers can
+	// then be compared, but nothing is ejected.
+	comparable := known > 1 && total.Answered >= leastReference
+	reference := leastReferenceShare
+	if comparable {
+		reference = max(total.share(), leastReferenceShare)
+	}
 	for i := range c.ranking {
 		v := &c.ranking[i]
 		v.reference, v.risk, v.likelihood = reference, 0, 0
-		if total.Answered < leastReference || known < 2 {
-			continue
-		}
 		e := v.evidence
 		v.risk = max((e.Failed+priorWeight*reference)/(e.Answered+priorWeight)-reference-riskTolerance, 0)
-		if e.Failed >= leastFailures {
+		if comparable && e.Failed >= leastFailures {
 			v.likelihood = likelihood(e, reference)
 		}
 	}
@@ -133,7 +145,7 @@
 // failures makes what was seen than the reference does, 0 if the share is too small.
 func likelihood(e Evidence, reference float64) float64 {
 	share := e.share()
-	if share < reference+leastMargin+reference/2 || reference >= 1 {
+	if share < 2*reference+leastMargin || reference >= 1 {
 		return 0
 	}
 	l := e.Failed * math.Log(share/reference)
@@ -191,6 +203,7 @@
 	slices.SortStableFunc(c.ranking, func(a, b ranked) int { return cmp.Compare(b.likelihood, a.likelihood) })
 	for _, v := range c.ranking {
 		if v.state >= Probed || v.Slots > allowed || v.reference > greatestReference {
+			v.outlierSince = 0
 			continue
 		}
 		least := float64(leastLikelihood)
@@ -198,7 +211,13 @@
 			least = leastLikelihoodAgain
 		}
 		outlier := v.likelihood >= least && (f.Reporting == 0 || v.confirmed(now))
-		followed := v.others.ejecting >= leastEjecting && v.others.ejecting > v.others.cleared && v.others.ejectedLeft > 0
+		if !outlier {
+			v.outlierSince = 0
+		} else if v.outlierSince == 0 {
+			v.outlierSince = now
+		}
+		outlier = outlier && now-v.outlierSince >= outlierFor
+		followed := v.follows(now)
 		if !outlier && !followed {
 			continue
 		}
@@ -210,6 +229,14 @@
 	}
 }
 
+// follows reports whether this instance, which has seen no answer of the server lately,
+// ejects it as others do.
+func (s *Server) follows(now time.Duration) bool {
+	own := s.own.evidence(now)
+	return own.Answered-own.Failed < leastWeight && s.others.ejecting >= leastEjecting && s.others.ejecting > s.others.cleared &&
+		s.others.ejectedLeft > time.Millisecond
+}
+
 // trialFailed reports whether a trial of another instance has failed. The first two
 // instances don't rely on a single one, whose own link may be at fault; the others rely on
 // these two.
@@ -241,6 +268,7 @@
 		}
 	}
 	s.ejections++
+	s.outlierSince = 0
 	s.until = now + period
 	c.setState(now, service, s, Ejected)
 }
--- a/pkg/connection/capacity/outcome.go
+++ b/pkg/connection/capacity/outcome.go
@@ -19,12 +19,20 @@
 )
 
 const (
-	// longestError is the length in bytes of the longest answer that counts as an error.
-	// Errors have some 100 to 200 bytes with their header.
-	longestError = 256
+	// longestError is the length in bytes of the longest answer that counts as an error
+	// whenever it comes: errors have some 100 to 200 bytes. With a header that isn't part of
+	// that they have up to longestFastError, and then count only if they come faster than
+	// work takes, as many good answers have that length.
+	longestError     = 200
+	longestFastError = 400
+	// fastPart is the part of the route's average answer time below which an answer comes
+	// faster than work takes: one good answer in nine, at a spread of a half.
+	fastPart = 0.5
 	// shortPart is the part of the route's usual answer length up to which an answer counts
 	// as an error. Half keeps errors of 120 bytes apart from answers of 300.
-	shortPart = 0.5
+	// Those that come fast may be longer, as a header makes errors and answers more alike.
+	shortPart     = 0.5
+	fastShortPart = 0.75
 	// usualQuantile is the quantile that counts as the usual length. It stays among the good
 	// answers while up to three in five servers fail three in five requests.
 	usualQuantile = 0.7
@@ -86,19 +94,15 @@
 	return uint32(lengthSteps+bucket%lengthSteps) << (exponent - 2)
 }
 
-// ErrorLength returns the length in bytes up to which an answer counts as an error, 0 while
-// too little is known.
-func (r *Route) ErrorLength() uint32 {
-	if r.usual == 0 {
-		return 0
-	}
-	return min(longestError, uint32(shortPart*float64(r.usual)))
-}
-
-// Classify learns the length of an answer in bytes and returns its outcome.
-func (r *Route) Classify(length uint32) Outcome {
+// Classify learns the length in bytes of an answer that came after a time, and returns its
+// outcome.
+func (r *Route) Classify(length uint32, waited time.Duration) Outcome {
 	r.learn(length)
-	if length <= r.ErrorLength() {
+	longest, part := longestError, shortPart
+	if r.fast(waited) {
+		longest, part = longestFastError, fastShortPart
+	}
+	if float64(length) <= min(float64(longest), part*float64(r.usual)) {
 		return Short
 	}
 	return Good
@@ -137,4 +141,6 @@
 }
 
 // fast reports whether an answer came much faster than the route's others.
-func (r *Route) fast(waited time.Duration) bool { return waited.Seconds() < r.answerTime.seconds/2 }
+func (r *Route) fast(waited time.Duration) bool {
+	return waited.Seconds() < fastPart*r.answerTime.seconds
+}
--- a/pkg/connection/capacity/server.go
+++ b/pkg/connection/capacity/server.go
@@ -61,15 +61,17 @@
 	// how many times as long answers take, at least 1, and reference the share of failures
 	// at other servers.
 	risk, slowness, reference float64
-	// proven says that the server answered lately and that nothing speaks against it.
+	// outlierSince is since when the server fails more than others, 0 if it doesn't.
+	outlierSince time.Duration
+	// proven says that the server answered lately and that little speaks against it.
 	proven bool
 }
 
 // State returns how the server is used.
 func (s *Server) State() State { return s.state }
 
-// Proven reports whether the server answered lately and nothing speaks against it.
-func (s *Server) Proven() bool { return s.proven && s.state == Healthy }
+// Proven reports whether the server answered lately and little speaks against it.
+func (s *Server) Proven() bool { return s.proven && s.state < Probed }
 
 // EjectedLeft returns for how long this instance ejects the server, and 1 ms while it
 // probes it, so that others can tell a server that has recovered.
@@ -87,8 +89,9 @@
 	if o != Good {
 		s.own.failed++
 		s.short++
-		// Errors come faster than work takes, so a slow one may be a good answer.
-		if s.state == Probed && (s.short > 1 || r.fast(waited)) {
+		// One short answer may be a good one: of three trials at each of six instances, one
+		// in four would fail.
+		if s.state == Probed && s.short > 1 {
 			s.limit = 0
 		}
 		return
--- a/pkg/connection/forwarding/health.go
+++ b/pkg/connection/forwarding/health.go
@@ -45,6 +45,11 @@
 	// repeatableFor is how long a service counts as one with repeatable requests after the
 	// latest of them.
 	repeatableFor = 2 * time.Second
+	// unprovenLoad is the load, in requests a slot, that ranks servers without proven health
+	// behind the others for requests that can't be repeated: these go to proven servers as
+	// long as one of them has a free slot. Where that was a strict order, the proven servers
+	// of an overloaded service were full in turn, and shed what others could have taken.
+	unprovenLoad = 1
 	// comparePeriods is the number of ticks between two comparisons of a service's servers,
 	// and retainPeriods that between two searches for routes that are gone. At 3,800
 	// servers, a comparison of all takes a millisecond.
@@ -137,7 +142,7 @@
 func (c *Core) settleAnswer(now time.Duration, f *flow) {
 	f.answer.pending = false
 	route := c.health.core.Route(f.key.Route, f.server.Service)
-	f.server.health.RecordAnswer(now, route, f.answer.waited, route.Classify(f.acknowledged-f.answer.start))
+	f.server.health.RecordAnswer(now, route, f.answer.waited, route.Classify(f.acknowledged-f.answer.start, f.answer.waited))
 }
 
 func (h *health) recordUnopened(now time.Duration, v *server) {
@@ -171,24 +176,20 @@
 	return v.health.State() != capacity.Probed && v.observed.suspected(now)
 }
 
-// reserves reports whether requests of the route go to servers with proven health first:
+// reserves reports whether requests of the route prefer servers with proven health:
 // they can't be repeated, and a server of the service may be degraded.
 func (h *health) reserves(service string, r directory.Route) bool {
 	return h.on() && r.Kind != directory.Repeatable && h.core.Degraded(service)
 }
 
-// proven reports whether the server has proven health and a free slot.
-func (c *Core) proven(v *server) bool {
-	if !v.health.Proven() {
-		return false
-	}
-	return float64(v.observed.running)+c.reportScale*v.observed.others.running < float64(v.capacity())
-}
-
 // weighHealth adds what is known of the server's health to a candidate.
-func (c *Core) weighHealth(k placement.Candidate, r directory.Route, v *server) placement.Candidate {
-	if c.health.on() {
-		k.Penalty += v.health.Penalty(r.Kind == directory.Repeatable)
+func (c *Core) weighHealth(k placement.Candidate, r directory.Route, reserve bool, v *server) placement.Candidate {
+	if !c.health.on() {
+		return k
+	}
+	k.Penalty += v.health.Penalty(r.Kind == directory.Repeatable)
+	if reserve && !v.health.Proven() {
+		k.Penalty += unprovenLoad
 	}
 	return k
 }
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -18,10 +18,7 @@
 	servers, trial := c.servers.byService[service], c.health.allowsTrial(now, service, r)
 	c.draw++
 	reserve := c.health.reserves(service, r)
-	for pass, accept := range [...]func(*server) bool{
-		func(v *server) bool {
-			return c.proven(v) && c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !v.observed.suspected(now)
-		},
+	for _, accept := range [...]func(*server) bool{
 		func(v *server) bool {
 			return c.warm(now, v) && c.withinReach(now, v) && !f.tried(v) && !c.suspected(now, v) && c.accepts(now, trial, v)
 		},
@@ -35,13 +32,10 @@
 		func(v *server) bool { return c.warm(now, v) },
 		func(v *server) bool { return c.usable(now, v) && c.acceptsCold(now, v) },
 	} {
-		if pass == 0 && !reserve {
-			continue
-		}
 		best := placement.NewBest(c.draw, c.options.Policy)
 		for i, v := range servers {
 			if accept(v) {
-				best.Offer(i, c.weighHealth(c.candidate(now, v), r, v))
+				best.Offer(i, c.weighHealth(c.candidate(now, v), r, reserve, v))
 			}
 		}
 		if i, ok := best.Choice(); ok {
