Find degraded servers within some 1.5 s, and explain them to operators

Change: three times the reference and 0.05 more.

The whole pkg/emulation passes. Crowd, lossy link and degraded servers hold in forwarding's tests.

--- a/pkg/connection/capacity/eject.go
+++ b/pkg/connection/capacity/eject.go
@@ -17,9 +17,11 @@
 	leastReferenceShare = 0.02
 	// leastReference is the weight of the answers that the comparison needs.
 	leastReference = 5
-	// leastMargin is how much larger than twice the reference a server's share of failures
-	// has to be: servers that shed in a crowd differ from each other.
-	leastMargin = 0.2
+	// A server fails more than others if its share of failures is leastRatio times the
+	// reference and leastMargin more: few failures where the others have none, and nearly all
+	// where a crowd makes the others fail too, as these differ from each other.
+	leastRatio  = 3
+	leastMargin = 0.05
 	// outlierFor is how long a server has to be an outlier: when a crowd begins, the servers
 	// that are full first shed for some 0.3 s before others do. Meanwhile its risk leads flows
 	// elsewhere.
@@ -145,7 +147,7 @@
 // failures makes what was seen than the reference does, 0 if the share is too small.
 func likelihood(e Evidence, reference float64) float64 {
 	share := e.share()
-	if share < 2*reference+leastMargin || reference >= 1 {
+	if share < leastRatio*reference+leastMargin || reference >= 1 {
 		return 0
 	}
 	l := e.Failed * math.Log(share/reference)
--- a/pkg/emulation/day/kinds.go
+++ b/pkg/emulation/day/kinds.go
@@ -51,7 +51,7 @@
 		{AddressesReused, "Share of the backend servers end, and servers of another service take their addresses; Drain: they drain first; Dark: they fall silent."},
 		{ServersLeave, "Share of the backend servers drain and leave."},
 		{ServersAdded, "Share more backend servers start, one each Gap."},
-		{ServersGrey, "Share of the backend servers fail Factor of their requests; Mute: they don't answer them."},
+		{ServersGrey, "Share of the backend servers fail Factor of their requests; Mute: they don't answer them; Shed: they refuse them at once; Hang: they answer no packet."},
 		{ServersSlow, "Share of the backend servers take Factor times as long."},
 		{ServersFlap, "Share of the backend servers go down and up, each Gap; Dark: nothing answers while they are down."},
 		{DataCentreBackCold, "All backend servers of a data centre are down for For and return together, cold; Dark: nothing answers meanwhile."},
--- a/pkg/emulation/days_test.go
+++ b/pkg/emulation/days_test.go
@@ -88,6 +88,33 @@
 	}
 }
 
+// Degraded servers must lose far fewer requests of flows that are opened during the fault
+// than without health. Flows that are open already stay where they are.
+func TestDegradedServersLoseFewRequests(t *testing.T) {
+	for _, name := range []string{"degraded-servers", "shedding-servers", "hanging-servers"} {
+		d, err := day.Load(examples + "regressions/" + name + ".ini")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for seed := range uint64(seedsPerDay) {
+			with := runDay(t, d, emulation.Options{Seed: seed + 1})
+			d.Health = false
+			without := runDay(t, d, emulation.Options{Seed: seed + 1})
+			d.Health = true
+			lost, before := 0, 0
+			for n, c := range with.Classes {
+				if !d.Classes[n].LongFlows {
+					lost += c.Asked - c.Served
+					before += without.Classes[n].Asked - without.Classes[n].Served
+				}
+			}
+			if float64(lost) > 0.6*float64(before)+2 {
+				t.Errorf("%s, seed %d: %d requests not served, %d without health", name, seed+1, lost, before)
+			}
+		}
+	}
+}
+
 func TestDrawnDays(t *testing.T) {
 	for name, seeds := range brokenSeeds {
 		d := load(t, name)
--- a/pkg/emulation/faults.go
+++ b/pkg/emulation/faults.go
@@ -210,7 +210,8 @@
 	for _, v := range w.drawServers(f, 0.15) {
 		w.disturb(f.For, &v.node)
 		v.failShare, v.failsSilently = orDefault(f.Factor, 0.4), f.HasVariant("Mute")
-		w.clock.After(f.For, func() { v.failShare, v.failsSilently = 0, false })
+		v.sheds, v.hangs = f.HasVariant("Shed"), f.HasVariant("Hang")
+		w.clock.After(f.For, func() { v.failShare, v.failsSilently, v.sheds, v.hangs = 0, false, false, false })
 	}
 }
 
--- a/pkg/emulation/server.go
+++ b/pkg/emulation/server.go
@@ -31,9 +31,12 @@
 	coldUntil       time.Duration
 	// Work takes slowFactor times as long if that is above 1. failShare is the share
 	// of the requests that fail, and failsSilently says that those aren't answered.
-	slowFactor      float64
-	failShare       float64
-	failsSilently   bool
+	slowFactor    float64
+	failShare     float64
+	failsSilently bool
+	// sheds says that failing requests aren't run but refused at once, and hangs that the
+	// server answers no packet.
+	sheds, hangs    bool
 	flows           map[segment.Flow]*serverFlow
 	runningRequests int
 	queue           []*attempt
@@ -151,7 +154,7 @@
 
 // receive handles a datagram that arrives at the server's address.
 func (v *server) receive(s segment.Segment, t *transit) {
-	if v.dark {
+	if v.dark || v.hangs {
 		return
 	}
 	f, known := v.flows[s.Flow]
@@ -230,6 +233,8 @@
 	}
 	a.received, a.serverFlow = true, f
 	switch {
+	case v.sheds && v.world.random.Float64() < v.failShare:
+		v.answerRequest(a, notRun)
 	case v.runningRequests < v.service.Slots:
 		v.runRequest(a)
 	case len(v.queue) < v.service.Queue:
@@ -251,7 +256,7 @@
 		}
 		v.runningRequests--
 		outcome := done
-		if v.failShare > 0 && v.world.random.Float64() < v.failShare {
+		if v.failShare > 0 && !v.sheds && v.world.random.Float64() < v.failShare {
 			outcome = failed
 		}
 		if outcome == done || !v.failsSilently {
--- a/pkg/process/explanation/cause.go
+++ b/pkg/process/explanation/cause.go
@@ -47,6 +47,9 @@
 	if cause := instanceCause(last, lines); cause != "" {
 		return cause
 	}
+	if cause := healthCause(last, lines); cause != "" {
+		return cause
+	}
 	if cause := unansweredCause(flow, last, lines); cause != "" {
 		return cause
 	}
@@ -164,6 +167,35 @@
 	return ""
 }
 
+// healthWindow is how long before or after the flow's last line the server's health may have
+// changed and still explain a failure: it is known within a few seconds.
+const healthWindow = 5 * time.Second
+
+// healthCause returns that the flow's backend server was ejected or limited around the flow's
+// last line, or "" if the lines don't show it. The last change before the flow counts, or
+// else the first one after it.
+func healthCause(last Line, lines []Line) string {
+	var change Line
+	for _, l := range lines {
+		if l.Fields["Server"] != last.Fields["Server"] || !strings.HasPrefix(l.Message, "Server: ") || l.Fields["Reference"] == "" {
+			continue
+		}
+		if l.At.After(last.At) && (change.Message != "" || l.At.After(last.At.Add(healthWindow))) {
+			break
+		}
+		change = l
+	}
+	after := relative(change.At.Sub(last.At).Round(time.Millisecond))
+	switch {
+	case strings.HasPrefix(change.Message, "Server: ejected"), strings.HasPrefix(change.Message, "Server: probed"):
+		return fmt.Sprintf("backend server %s failed more requests than others: ejected or probed %s, with %s of %s lately failed, seen by %s instances, where others fail %s of all",
+			last.Fields["Server"], after, change.Fields["Failed"], change.Fields["Answered"], change.Fields["Sources"], change.Fields["Reference"])
+	case strings.HasPrefix(change.Message, "Server: limited"):
+		return fmt.Sprintf("backend server %s was slow: limited %s, as its answers took %s times as long as others'", last.Fields["Server"], after, change.Fields["AnswerTimes"])
+	}
+	return ""
+}
+
 // instanceCause returns what happened to the instance within instanceFaultWindow
 // after the flow's last line, or "" if the lines show nothing.
 func instanceCause(last Line, lines []Line) string {
--- a/pkg/process/explanation/explanation_test.go
+++ b/pkg/process/explanation/explanation_test.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// A request that a degraded server answered with an error has no other sign in the logs than
+// the server's ejection.
+func TestEjectionOfTheServerIsExplained(t *testing.T) {
+	result, err := read(t, "ejected.log").Explain("191ee221fb4837de")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = "backend server i-c2c885d568 failed more requests than others: ejected or probed 3.837s after the flow's last packet seen here, with 35.3 of 79.8 lately failed, seen by 3 instances, where others fail 0.02 of all"
+	if diff := cmp.Diff(want, result.Cause); diff != "" {
+		t.Errorf("cause (-want +got):\n%s", diff)
+	}
+}
+
 // Truncated or mixed lines must neither end the reading nor go unnoticed.
 func TestLinesThatCantBeReadAreCountedAndSkipped(t *testing.T) {
 	log := read(t, "dark.log", "refused.log")
--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
@@ -25,6 +26,7 @@
 	},
 	Loads: []forwarding.Load{{
 		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second, ColdLeft: time.Second,
+		Evidence: capacity.Evidence{Answered: 12.5, Failed: 3.25, AnswerTime: 40 * time.Millisecond}, EjectedLeft: 2 * time.Second,
 	}},
 	Asked: []mark.Mark{7, 9}, Answer: true,
 	Batch: &replica.Batch{After: 410, Revision: 412, Changes: []replica.Change{
