--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -9,9 +9,7 @@
 
 // Classes of backend servers that may get a flow, in the order of preference.
 const (
-	// proven: for requests that can't be repeated, while servers of the service are degraded.
-	proven = iota
-	untried
+	untried = iota
 	suspectedUntried
 	triedBefore
 	cold
@@ -26,7 +24,7 @@
 // first class that has any.
 func (c *Core) place(now time.Duration, r directory.Route, f *flow, copies int) *server {
 	service := serviceOf(r, f.key)
-	p := placing{flow: f, copies: copies, trial: c.health.allowsTrial(now, service, r), reserve: c.health.reserves(service, r)}
+	p, reserve := placing{flow: f, copies: copies, trial: c.health.allowsTrial(now, service, r)}, c.health.reserves(service, r)
 	servers := c.servers.byService[service]
 	c.draw++
 	best := [placementClasses]placement.Best{}
@@ -35,7 +33,7 @@
 	}
 	for i, v := range servers {
 		if class := c.placementClass(now, p, v); class < placementClasses {
-			best[class].Offer(i, c.weighHealth(c.candidate(now, v), r, v))
+			best[class].Offer(i, c.weighHealth(c.candidate(now, v), r, reserve, v))
 		}
 	}
 	for class := range best {
@@ -50,9 +48,8 @@
 type placing struct {
 	flow   *flow
 	copies int
-	// trial says that the flow may probe a server, and reserve that servers of proven
-	// health come first.
-	trial, reserve bool
+	// trial says that the flow may probe a server.
+	trial bool
 }
 
 // placementClass returns the class of a backend server for a flow, placementClasses if it
@@ -63,10 +60,8 @@
 	}
 	warm, reached, tried := c.warm(now, v), c.withinReach(now, v), p.flow.tried(v)
 	if reached && !tried {
-		suspected, accepted := v.observed.suspected(now), c.accepts(now, p.trial, v)
+		accepted := c.accepts(now, p.trial, v)
 		switch {
-		case p.reserve && warm && !suspected && c.proven(v):
-			return proven
 		case accepted && (warm && !c.suspected(now, v) || c.acceptsTrial(now, v)):
 			return untried
 		case accepted && warm:
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -45,7 +45,7 @@
 	// announced is the position of the replica at the last announcement, nil for none.
 	announced atomic.Pointer[replica.Position]
 	// saved is how many bytes of the budget are left from the periods before, where reports
-	// contain health.
+	// contain health. It is negative if more was sent.
 	saved int
 	// health says that they do.
 	health bool
@@ -132,18 +132,23 @@
 	}
 	if limit = e.affordable(len(datagram), notices); limit == 0 {
 		// Other data centres still have to hear of this instance.
-		e.send(began, wire.Message{Hello: m.Hello}, e.state.periodPeers(0))
-		return
+		if datagram, ok = e.encode(wire.Message{Hello: m.Hello}); !ok {
+			return
+		}
 	}
-	e.sendDatagram(began, datagram, e.state.periodPeers(limit))
+	peers := e.state.periodPeers(limit)
+	// A message to another data centre isn't part of the limit. Those to seeds, while no
+	// other instance is known, may not stop reports for long afterwards.
+	e.saved = max(e.saved-max(len(peers)-limit, 0)*len(datagram), -maxDatagramBytes)
+	e.sendDatagram(began, datagram, peers)
 }
 
-// affordable adds a period's budget, less the bytes of notices, to what is left of the last one's, and returns how many
-// messages of that length it pays for, which it takes off. Reports with health fill a
-// datagram, which is more than a period's budget.
+// affordable adds a period's budget, less the bytes of notices, to what is left of the last
+// one's, and returns how many messages of that length it pays for, which it takes off.
+// Reports with health fill a datagram, which is more than a period's budget.
 func (e *exchange) affordable(length, notices int) int {
 	e.saved = min(e.saved+periodBytes-notices, max(length, periodBytes))
-	n := max(e.saved/length, 0)
+	n := max(e.saved, 0) / length
 	e.saved -= n * length
 	return n
 }
