--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -271,9 +271,6 @@
 	c.askFor(now, route)
 	f := c.openFlow(now, s)
 	v := c.place(now, route, f)
-	if v == nil && mayBeOpen(route, f) {
-		return Decision{Verdict: Drop, Reason: NoServer, Route: route.Name}
-	}
 	if v == nil {
 		return Decision{Verdict: Reset, Reason: NoServer, Route: route.Name}
 	}
--- a/pkg/connection/forwarding/portreuse.go
+++ b/pkg/connection/forwarding/portreuse.go
@@ -1,9 +1,6 @@
 package forwarding
 
-import (
-	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
-	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
-)
+import "github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 
 // Callers use ports again, and packets may be late: a packet may belong to an earlier flow
 // between the same endpoints. Marks keep such packets apart on their way. The records of
@@ -24,10 +21,3 @@
 	}
 	return f.server
 }
-
-// mayBeOpen reports whether a flow may be open already, as an earlier opening packet went to
-// a backend server whose answer this instance doesn't see, and its request may run. If it
-// isn't repeatable, a reset would lose it. Repeatable ones are reset and asked again at once.
-func mayBeOpen(r directory.Route, f *flow) bool {
-	return r.Kind != directory.Repeatable && f.lastTried() != nil
-}
