--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -299,7 +299,7 @@
 	}
 	f := c.openFlow(now, s)
 	v := c.place(now, route, f, s.Copy())
-	if v == nil && (mayBeOpen(route, f) || c.usableSoon(now, route, f, s.Copy())) {
+	if v == nil && c.usableSoon(now, route, f, s.Copy()) {
 		return Decision{Verdict: Drop, Reason: NoServer, Route: route.Name}
 	}
 	if v == nil {
