Read the platform's list anew once its revision goes back

Cause: the list's follower reads entries from its last revision on. A store that was restored from an older copy has entries that went back to revisions which were read before, and they stayed as they were until they changed again.

Change: a revision below that of the last read shows the restoration, and the whole list is read.

--- a/pkg/process/listing/follower.go
+++ b/pkg/process/listing/follower.go
@@ -35,6 +35,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the platform's list")
 	}
+	if changes.Revision < f.revision {
+		// The store was restored from an older copy, whose entries may differ at
+		// revisions that were read before.
+		f.entryByKey, f.revision = make(map[string]Entry), 0
+		return f.Read(ctx)
+	}
 	for _, row := range changes.Entries {
 		e := f.entryByKey[row.Key]
 		if err := json.Unmarshal(row.Value, &e); err == nil || f.entryByKey[row.Key].Name == "" {
