Leave a shortage while servers are idle, and record what holding openings would bring

Change: servers that are idle by the known load are learnt from in a shortage too, and the share of the capacity then grows as at a delay of 0.

--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -205,7 +205,11 @@
 		goal = min(time.Duration(protectedGoal*float64(goal)), s.limit)
 	}
 	growth := 0.0
-	if s.refusing() && !s.shedding {
+	switch {
+	case !s.refusing() || s.shedding:
+	case s.isIdle():
+		growth = slowGrowth
+	default:
 		growth = slowGrowth * max(1-s.combined.Seconds()/goal.Seconds(), 0)
 	}
 	if growth > fastFrom*slowGrowth {
--- a/pkg/connection/admission/play_test.go
+++ b/pkg/connection/admission/play_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -38,6 +39,8 @@
 	present
 	// known knows each server's queue, and rejects what would wait for too long.
 	known
+	// holding admits as product does, but holds what it would reject until the next tick.
+	holding
 )
 
 // load is the load and the faults of one run.
@@ -58,6 +61,8 @@
 	target time.Duration
 	// flags unset good for short error responses.
 	flags bool
+	// length is how long the crowd lasts, 5 s if 0.
+	length time.Duration
 	// leave is how many servers leave in the middle, and stop how many instances.
 	leave, stop int
 	// reports is the part of the reports between instances that arrive.
@@ -65,12 +70,14 @@
 }
 
 const (
-	crowdFrom, crowdTo, playEnd = 3 * time.Second, 8 * time.Second, 11 * time.Second
-	middle                      = (crowdFrom + crowdTo) / 2
+	crowdFrom, crowdLength = 3 * time.Second, 5 * time.Second
+	middle                 = crowdFrom + crowdLength/2
+	afterCrowd             = 3 * time.Second
 )
 
 // figures are what came of the requests of the crowd.
 type figures struct {
+	seconds                           float64
 	asked, served, onTime             int
 	urgentAsked, urgentOnTime         int
 	atServers                         int
@@ -93,6 +100,7 @@
 	running []int
 	average []float64
 	stopped bool
+	held    []*request
 }
 
 type request struct {
@@ -149,6 +157,7 @@
 // play runs the load and returns its figures.
 func play(l load) figures {
 	p := &player{load: l, random: rand.New(rand.NewPCG(l.seed, 0))}
+	p.seconds = (p.crowdTo() - crowdFrom).Seconds()
 	for i := range centres * serversEach {
 		p.servers = append(p.servers, &backend{centre: i % centres})
 	}
@@ -174,7 +183,7 @@
 		}
 	})
 	p.arrive()
-	for p.queue.Len() > 0 && p.now < playEnd {
+	for p.queue.Len() > 0 && p.now < p.crowdTo()+afterCrowd {
 		e := heap.Pop(&p.queue).(event)
 		p.now = e.at
 		e.run()
@@ -182,7 +191,9 @@
 	return p.figures
 }
 
-func (p *player) inCrowd(at time.Duration) bool { return at >= crowdFrom && at < crowdTo }
+func (l load) crowdTo() time.Duration { return crowdFrom + cmp.Or(l.length, crowdLength) }
+
+func (p *player) inCrowd(at time.Duration) bool { return at >= crowdFrom && at < p.crowdTo() }
 
 func (p *player) arrive() {
 	rate := p.usual * capacity
@@ -233,6 +244,11 @@
 			p.reject(r)
 			return
 		}
+	case holding:
+		if !r.node.core.Admit(p.now, service, routes[r.class], r.caller) {
+			r.node.held = append(r.node.held, r)
+			return
+		}
 	case known:
 		least := math.Inf(1)
 		for _, v := range p.servers {
@@ -253,12 +269,26 @@
 	if !r.counted && p.now < crowdFrom {
 		p.refusedBefore++
 	}
-	if p.now > crowdTo+time.Second {
+	if p.now > p.crowdTo()+time.Second {
 		p.refusedAfterSecond++
 	}
 	p.after(toCaller, func() { p.attempt(r) })
 }
 
+// release places the requests that were held since the last tick and are admitted now, and
+// rejects the others.
+func (p *player) release(n *node) {
+	held := n.held
+	n.held = nil
+	for _, r := range held {
+		if n.core.WouldAdmit(p.now, service, routes[r.class], r.caller) {
+			p.place(r)
+		} else {
+			p.reject(r)
+		}
+	}
+}
+
 // place sends an opening packet to a server, and the request if it accepts it.
 func (p *player) place(r *request) {
 	best := placement.NewBest(p.random.Uint64(), placement.Score)
@@ -373,10 +403,11 @@
 	}
 	n.core.SetLoad(service, float64(len(p.servers)*slots), sum)
 	n.core.Tick(p.now)
+	p.release(n)
 	if to := p.nodes[p.random.IntN(len(p.nodes))]; p.reports > p.random.Float64() && to.centre == n.centre && to != n {
 		to.core.Receive(p.now, n.core.Pressures())
 	}
-	if p.now > crowdTo-tick && p.now <= crowdTo {
+	if p.now > p.crowdTo()-tick && p.now <= p.crowdTo() {
 		for _, r := range n.core.Pressures() {
 			p.levels = append(p.levels, r.Level)
 		}
@@ -392,7 +423,7 @@
 
 // goodput returns the answers on time to the crowd's requests, in capacities.
 func (f figures) goodput() float64 {
-	return float64(f.onTime) / (crowdTo - crowdFrom).Seconds() / capacity
+	return float64(f.onTime) / f.seconds / capacity
 }
 
 // attempts returns the attempts at servers for each request that was served.
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -220,8 +220,10 @@
 	s.waits[0][s.window.answers%ringSize] = wait
 }
 
-// isIdle reports whether the servers were idle at the last tick.
-func (s *service) isIdle() bool { return !s.short && s.running < idleLoad*s.capacity }
+// isIdle reports whether the servers were idle at the last tick. This holds in a shortage
+// too: a baseline that was learnt from other answers than those of idle servers, as after a
+// start amid a crowd, would make it last.
+func (s *service) isIdle() bool { return s.running < idleLoad*s.capacity }
 
 // goal returns the queueing delay to aim for.
 func (s *service) goal() time.Duration {
