Bound the services in a report of pressures

Cause: a hello carries 48 loads in about 1,200 bytes; reports of many short services would not fit into a datagram beside them.

Change: at most the 8 services with the most answers are reported; TestReportsAreBounded fails without it (20 of 20 services).

--- a/pkg/connection/admission/admission_test.go
+++ b/pkg/connection/admission/admission_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -163,6 +164,36 @@
 	}
 }
 
+// Guards against reports that don't fit into a datagram when many services are short.
+func TestReportsAreBounded(t *testing.T) {
+	const services, most = 20, 8
+	c := admission.New(admission.Options{})
+	var all []admission.Route
+	for n := range services {
+		all = append(all, admission.Route{Service: fmt.Sprint(n), Endpoint: routes[0], Target: longTarget})
+	}
+	c.Configure(all)
+	for n := range 2000 {
+		now := time.Duration(n) * time.Millisecond
+		waited := work
+		if n >= 1000 {
+			waited = 10 * work
+		}
+		for _, r := range all {
+			c.Admit(now, r.Service, r.Endpoint, callerOf(n))
+			c.Admit(now, r.Service, r.Endpoint, callerOf(n+5000))
+			c.Answered(now, r.Service, r.Endpoint, waited, true)
+			c.SetLoad(r.Service, 100, 10)
+		}
+		if n%100 == 99 {
+			c.Tick(now)
+		}
+	}
+	if got := len(c.Pressures()); got != most {
+		t.Errorf("%d pressures, want %d of %d", got, most, services)
+	}
+}
+
 // Guards against allocations, and a decision that takes much of the 2 us of a packet.
 func BenchmarkAdmit(b *testing.B) {
 	c, now := shortage(b)
--- a/pkg/connection/admission/pressure.go
+++ b/pkg/connection/admission/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,9 @@
 	// pressureHalfLife is the age at which another instance's report counts half: a
 	// full queue of 8 requests at 2 slots drains in some 120 ms.
 	pressureHalfLife = 300 * time.Millisecond
+	// maxPressures bounds the services in one report, which takes some 25 bytes for each:
+	// a datagram has room for as many beside 48 loads.
+	maxPressures = 8
 	// pressureMaxAge is how long another instance's report counts.
 	pressureMaxAge = 3 * time.Second
 	// levelWeight is how far one report moves the own level towards the sender's, if
@@ -53,7 +57,8 @@
 	}
 }
 
-// Pressures returns what to report of the services that are short.
+// Pressures returns what to report of the services that are short, of those with the most
+// answers if there are too many.
 func (c *Core) Pressures() []Pressure {
 	var pressures []Pressure
 	for _, s := range c.sorted {
@@ -63,6 +68,10 @@
 			})
 		}
 	}
+	if len(pressures) > maxPressures {
+		slices.SortStableFunc(pressures, func(a, b Pressure) int { return b.Answers - a.Answers })
+		pressures = pressures[:maxPressures]
+	}
 	return pressures
 }
 
