Pass the policy of ejections on, and refuse an ejected part of zero

Cause: the four keys of ejections were read and checked but reached nothing, as two parts were built side by side. A part of 0 would have meant the default behind them; Ejection = Off turns ejections off. The expected text of one problem in the policy's test follows the allowed range.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -116,6 +116,15 @@
 	return &admission.Options{LongestStarvation: p.LongestStarvation, Epoch: time.Duration(time.Now().UnixNano())}
 }
 
+// healthOptions returns the settings of what is learnt of servers' health, which is on where
+// the platform's settings ask for it.
+func healthOptions(s platform.Settings, p policy.Policy) forwarding.HealthOptions {
+	return forwarding.HealthOptions{
+		Enabled: slices.Contains(s.Contracts, platform.ContractHealth), EjectionOff: !p.Ejection,
+		GreatestEjectedPart: p.GreatestEjectedPart, ShortestEjection: p.ShortestEjection, LongestEjection: p.LongestEjection,
+	}
+}
+
 func entryOptions(s platform.Settings, p policy.Policy, store *platform.Store, logger *slog.Logger, metricsPort uint16) entry.Options {
 	return entry.Options{
 		Name: s.Name, DataCentre: s.DataCentre,
@@ -126,8 +135,7 @@
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
 		MaxStretch:         s.Bounds.MaxStretch,
 		MaxFlow:            s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
-		Health: forwarding.HealthOptions{Enabled: slices.Contains(s.Contracts, platform.ContractHealth)},
-		Admission: admissionOptions(p),
+		Admission: admissionOptions(p), Health: healthOptions(s, p),
 	}
 }
 
--- a/pkg/process/policy/policy.go
+++ b/pkg/process/policy/policy.go
@@ -62,7 +62,7 @@
 		durationKey("LongestStarvation", "5s", "time in which each caller of an overloaded service is admitted once, as far as more urgent requests leave room", leastStarvation, mostStarvation, func(p *Policy) *time.Duration { return &p.LongestStarvation }),
 		switchKey("Ejection", "whether backend servers that fail more than their peers get no flows for a time", func(p *Policy) *bool { return &p.Ejection }),
 		{
-			Name: "GreatestEjectedPart", Default: "0.3", Allowed: "a number from 0 to 1",
+			Name: "GreatestEjectedPart", Default: "0.3", Allowed: "a number above 0, at most 1",
 			Meaning: "largest part of a service's usable slots that is ejected at a time", set: setPart,
 		},
 		durationKey("ShortestEjection", "2s", "how long a server's first ejection lasts; each further one lasts twice as long", leastEjection, mostEjection, func(p *Policy) *time.Duration { return &p.ShortestEjection }),
@@ -102,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	if !(part >= 0 && part <= 1) {
+	if !(part > 0 && part <= 1) {
 		return errors.Errorf("%v is out of range", part)
 	}
 	p.GreatestEjectedPart = part
--- a/pkg/process/policy/policy_test.go
+++ b/pkg/process/policy/policy_test.go
@@ -39,7 +39,7 @@
 		`[DEFAULT] Admission = "On": no such key`,
 		`[Policy] Admission = "yes": allowed: On or Off`,
 		`[Policy] Ejection = "On, Off": given more than once`,
-		`[Policy] GreatestEjectedPart = "NaN": allowed: a number from 0 to 1`,
+		`[Policy] GreatestEjectedPart = "NaN": allowed: a number above 0, at most 1`,
 		`[Policy] LongestStarvation = "1ms": allowed: a duration from 1s to 1m0s`,
 		`[Policy] Other = "1": no such key`,
 		`[Policy] LongestEjection = "16s": below ShortestEjection`,
