Keep reports with health short, so that running requests are known elsewhere sooner

Cause: on an emulated deployment of 66 instances and 150 servers, servers that answer half of their requests not at all lost more with health than without: 326 in place of 240 of 60,136 requests at 10 % of the servers, 968 in place of 829 at 30 %. Reports with all servers were fewer, so that instances knew less of the requests that these servers hold; and all instances probed a server at once as soon as one had returned it.

Ruled out: the preference for trials (285 and 879 without it) and a larger risk (290 and 879).

Change: a report holds servers with load or failures and up to 16 others by turns; where another instance has returned a server, this one's trial isn't preferred. Unused budget carries over by one message; 2,600 B a second are planned for reports.

--- a/pkg/connection/capacity/eject.go
+++ b/pkg/connection/capacity/eject.go
@@ -284,7 +284,7 @@
 			v.until = max(v.until, now+min(v.others.ejectedLeft, c.options.LongestEjection))
 		}
 		if now >= v.until {
-			v.limit, v.good, v.short, v.trials, v.lastEjected, v.rank = 1, 0, 0, 0, now, f.Rank(v.ID)
+			v.limit, v.good, v.short, v.trials, v.lastEjected, v.rank, v.joins = 1, 0, 0, 0, now, f.Rank(v.ID), false
 			v.turn = now + min(time.Duration(v.rank)*turnPeriod, c.options.LongestEjection)
 			// What was seen before the ejection says nothing about the server now.
 			v.own = counts{}
@@ -299,8 +299,10 @@
 		case now < v.turn && v.trialFailed():
 			v.until = now + min(v.others.ejectedLeft, c.options.LongestEjection)
 			c.setState(now, service, v, Ejected)
-		case v.others.cleared > 0:
-			v.turn = min(v.turn, now)
+		case v.others.cleared > 0 && now < v.turn:
+			// Another instance has returned the server, so it gets its share of flows here
+			// too. If each instance hurried its trial, many would be lost at once.
+			v.turn, v.joins = now, true
 		}
 	default:
 		if v.ejections > 0 && now-v.lastEjected > c.options.LongestEjection {
--- a/pkg/connection/capacity/server.go
+++ b/pkg/connection/capacity/server.go
@@ -57,6 +57,8 @@
 	trialAt time.Duration
 	// rank is this instance's place among those that probe the server.
 	rank int
+	// joins says that another instance has returned the server before this one's turn.
+	joins bool
 	// risk is how much larger the share of failures is than at other servers, slowness
 	// how many times as long answers take, at least 1, and reference the share of failures
 	// at other servers.
@@ -167,7 +169,7 @@
 
 // Penalty returns the load, in requests a slot, that ranks the server behind better ones.
 func (s *Server) Penalty(repeatable bool) float64 {
-	if s.state == Probed && s.limit == 1 {
+	if s.state == Probed && s.limit == 1 && !s.joins {
 		return -trialPreference
 	}
 	penalty := riskLoad * s.risk
--- a/pkg/connection/forwarding/health.go
+++ b/pkg/connection/forwarding/health.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -42,6 +43,10 @@
 	// maxHealthLoads bounds the servers in one report with health, at some 36 bytes each, so
 	// that it fits into a datagram.
 	maxHealthLoads = 36
+	// turnLoads is how many of the less urgent servers a report names by turns, and
+	// leastRunning the average of running requests from which on a server is named anyway.
+	turnLoads    = 16
+	leastRunning = 1.0 / 64
 	// repeatableFor is how long a service counts as one with repeatable requests after the
 	// latest of them.
 	repeatableFor = 2 * time.Second
@@ -264,38 +269,37 @@
 	return h.on() && (v.health.EjectedLeft(now) > 0 || v.health.Own(now).Answered >= leastReported)
 }
 
-// choose returns the loads that fit into a report. Half of them are those with the most
-// failures and open flows; the others take turns, so that others see as many good answers.
+// choose returns the loads that fit into a report: those with open flows, running requests
+// or failures, and a few of the others by turns, as longer reports go round more slowly.
 func (h *health) choose(loads []Load) []Load {
-	if len(loads) <= maxHealthLoads {
-		return loads
-	}
-	urgency := func(l Load) float64 {
-		u := float64(l.Failures+l.Open) + l.Evidence.Failed
-		if l.EjectedLeft > 0 {
-			u += maxHealthLoads
+	chosen := make([]Load, 0, maxHealthLoads)
+	var others []Load
+	for _, l := range loads {
+		if l.EjectedLeft > 0 || l.Failures > 0 || l.Open > 0 || l.Running >= leastRunning || l.ColdLeft > 0 || l.Evidence.Failed >= leastReported {
+			chosen = append(chosen, l)
+		} else {
+			others = append(others, l)
 		}
-		return u
 	}
-	slices.SortStableFunc(loads, func(a, b Load) int {
-		switch x, y := urgency(a), urgency(b); {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
-	const urgent = maxHealthLoads / 2
-	chosen, rest := slices.Clip(loads[:urgent]), loads[urgent:]
-	slices.SortFunc(rest, func(a, b Load) int { return int(int64(a.Mark) - int64(b.Mark)) })
-	for range min(maxHealthLoads-urgent, len(rest)) {
-		chosen = append(chosen, rest[h.reported%len(rest)])
+	if len(chosen) > maxHealthLoads {
+		slices.SortStableFunc(chosen, func(a, b Load) int { return cmp.Compare(b.urgency(), a.urgency()) })
+		chosen, others = chosen[:maxHealthLoads-turnLoads], chosen[maxHealthLoads-turnLoads:]
+	}
+	for range min(len(others), turnLoads, maxHealthLoads-len(chosen)) {
+		chosen = append(chosen, others[h.reported%len(others)])
 		h.reported++
 	}
 	return chosen
 }
 
+func (l Load) urgency() float64 {
+	u := float64(l.Failures+l.Open) + l.Evidence.Failed
+	if l.EjectedLeft > 0 {
+		u += maxHealthLoads
+	}
+	return u
+}
+
 // HealthEvent is a change of how a backend server is used because of its health.
 type HealthEvent struct {
 	capacity.Event
--- a/pkg/connection/forwarding/health_test.go
+++ b/pkg/connection/forwarding/health_test.go
@@ -189,7 +189,7 @@
 	w := newHealthWorld(1, 2, 150, healthOn)
 	w.run(faultAt)
 	reported := make(map[uint32]bool)
-	for range 10 {
+	for range 20 {
 		loads := w.cores[0].Loads(w.now)
 		if len(loads) > 36 {
 			t.Fatalf("%d loads in a report", len(loads))
--- a/pkg/emulation/days_test.go
+++ b/pkg/emulation/days_test.go
@@ -104,13 +104,14 @@
 			lost, before := 0, 0
 			for n, c := range with.Classes {
 				if !d.Classes[n].LongFlows {
-					lost += c.Asked - c.Served
-					before += without.Classes[n].Asked - without.Classes[n].Served
+					lost += c.Asked - c.OnTime
+					before += without.Classes[n].Asked - without.Classes[n].OnTime
 				}
 			}
 			if float64(lost) > 0.6*float64(before)+2 {
-				t.Errorf("%s, seed %d: %d requests not served, %d without health", name, seed+1, lost, before)
+				t.Errorf("%s, seed %d: %d requests not served on time, %d without health", name, seed+1, lost, before)
 			}
+			t.Logf("%s, seed %d: %d requests not served on time, %d without health", name, seed+1, lost, before)
 		}
 	}
 }
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -22,6 +22,9 @@
 	// controlBytesPerSecond is the budget for messages to other instances, which is
 	// the design's figure for all control traffic.
 	controlBytesPerSecond = 3000
+	// reportBytesPerSecond is the part of it for reports with health. The rest is for the
+	// message that the budget of earlier periods may pay for.
+	reportBytesPerSecond = 2600
 	// maxDatagramBytes is the longest message that is expected; longer datagrams may
 	// be fragmented on the way.
 	maxDatagramBytes = 1400
@@ -130,8 +133,8 @@
 // messages of that length it pays for, which it takes off. Reports with health fill a
 // datagram, which is more than a period's budget.
 func (e *exchange) affordable(length int) int {
-	const period = controlBytesPerSecond * ExchangePeriod / time.Second
-	e.saved = min(e.saved+int(period), max(length, int(period)))
+	const period = int(reportBytesPerSecond * ExchangePeriod / time.Second)
+	e.saved = min(e.saved+period, length+period)
 	n := max(e.saved, 0) / length
 	e.saved -= n * length
 	return n
