Mend what a review of the merged parts found

- A panic after the store was restored put the copy in force: configuration 3 in place of 7, and a data centre that was out got 40 of 40 flows.
The transition and the directory now outlive the discarded replica, and an answer that doesn't fit no longer ends the discard.
- Times that are left (cold, ejected) were reported as of the last tick, so that instances extended them by turns: 2 s became 3.5 s with 12 instances.
Reports are aged when they are sent; pressures have the same limit of age (read).
- Of many servers doubted at once only 32 were announced.
- A server that changes its service kept the health it had in the other one.
- A shortage never ended by the faded reports of others (half of the requests refused at idle servers after an hour), by short good answers (46 to 85 % refused), and many reports at once multiplied the admitted rate.
A service whose targets are taken away logs the end.
- Servers that are cold, doubted or ejected counted as room for new flows (read); where the load that others cause isn't known, servers don't count as idle (read, not measured alone).

--- a/pkg/connection/admission/admission.go
+++ b/pkg/connection/admission/admission.go
@@ -125,6 +125,12 @@
 		c.services[name], c.byHash[s.hash] = s, s
 		c.sorted = append(c.sorted, s)
 	}
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		if s := before[name]; s.short && c.services[name] == nil {
+			s.short = false
+			c.addEvent(s.event())
+		}
+	}
 }
 
 // shortestTarget returns the shortest target of the routes, 0 if none has one.
--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -186,7 +186,10 @@
 
 // control adapts the share and divides the rate over the classes.
 func (s *service) control(now time.Duration) {
-	s.shedding = s.window.failed >= minSamples/2 && s.failed > shedPart
+	s.followPeers()
+	// Idle servers without a delay shed nothing: their short answers are good ones.
+	idle := s.isIdle() && s.wait < time.Duration(queuedPart*float64(s.work))
+	s.shedding = s.window.failed >= minSamples/2 && s.failed > shedPart && !idle
 	if s.shedding && s.wait > 0 {
 		s.ceiling = max(s.wait/2, s.work)
 	} else if s.ceiling > 0 {
--- a/pkg/connection/admission/pressure.go
+++ b/pkg/connection/admission/pressure.go
@@ -15,6 +15,9 @@
 	// maxPressures bounds the services in one report, which takes some 25 bytes for each:
 	// a datagram has room for as many beside 48 loads.
 	maxPressures = 8
+	// leastPeerAnswers is the weight of others' answers below which they count for nothing:
+	// that of 60 answers after 3 s.
+	leastPeerAnswers = 1.0 / 16
 	// pressureMaxAge is how long another instance's report counts.
 	pressureMaxAge = 3 * time.Second
 	// levelWeight is how far one report moves the own level towards the sender's, if
@@ -44,6 +47,9 @@
 type peers struct {
 	updated       time.Duration
 	answers, wait float64
+	// ratio is the logarithm of how many times the own level the reports since the last
+	// tick ask for.
+	ratio float64
 }
 
 func (p *peers) age(now time.Duration) {
@@ -53,6 +59,10 @@
 			factor = 0
 		}
 		p.answers, p.wait = p.answers*factor, p.wait*factor
+		if p.answers < leastPeerAnswers {
+			// The remainder would decide alone where nothing is asked for.
+			p.answers, p.wait = 0, 0
+		}
 		p.updated = now
 	}
 }
@@ -85,6 +95,9 @@
 }
 
 func (s *service) receive(now time.Duration, p Pressure) {
+	if s.peers.updated-now > pressureMaxAge {
+		return
+	}
 	s.peers.age(now)
 	s.peers.answers += float64(p.Answers)
 	s.peers.wait += float64(p.Answers) * p.Wait.Seconds()
@@ -93,5 +106,12 @@
 		return
 	}
 	weight := 2 * levelWeight * float64(p.Answers) / float64(p.Answers+max(s.samples, 1))
-	s.share *= min(max(math.Pow(p.Level/level, min(weight, levelWeight)), 0.5), 2)
+	s.peers.ratio += min(weight, levelWeight) * math.Log(p.Level/level)
+}
+
+// followPeers moves the share by what other instances reported since the last tick, at most
+// to half or twice as much: many reports may arrive at once.
+func (s *service) followPeers() {
+	s.share *= min(max(math.Exp(s.peers.ratio), 0.5), 2)
+	s.peers.ratio = 0
 }
--- a/pkg/connection/forwarding/admit.go
+++ b/pkg/connection/forwarding/admit.go
@@ -55,7 +55,7 @@
 	for name, servers := range c.servers.byService {
 		var own, all, ownRunning, allRunning float64
 		for _, v := range servers {
-			if !c.usable(now, v) {
+			if !c.warm(now, v) || v.capacity() == 0 {
 				continue
 			}
 			running := c.running(v)
@@ -66,8 +66,12 @@
 				ownRunning += running
 			}
 		}
-		if own > 0 {
+		switch {
+		case own > 0 && (c.peerCount == 0 || c.health.reporting > 0):
 			all, allRunning = own, ownRunning
+		default:
+			// What others cause there isn't known, so the servers don't count as idle.
+			allRunning = max(allRunning, all)
 		}
 		c.admission.SetLoad(name, all, allRunning)
 	}
--- a/pkg/connection/forwarding/health_test.go
+++ b/pkg/connection/forwarding/health_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 )
 
 var healthOn = forwarding.HealthOptions{Enabled: true}
@@ -202,3 +205,44 @@
 		t.Errorf("%d of 150 servers reported", len(reported))
 	}
 }
+
+// Guards against health that was compared with the servers of another service.
+func TestServerOfAnotherServiceStartsWithoutEvidence(t *testing.T) {
+	d := configured().WithServer(serverOf(feedService, near, 1))
+	c := forwarding.New(forwarding.Options{Name: "entry", DataCentre: near, Seed: 1, Health: healthOn})
+	c.Confirm(0, 1)
+	c.Adopt(0, d)
+	p, _ := opened(t, c, time.Second, feedRoute)
+	c.Decide(time.Second, p.request())
+	c.Decide(time.Second+40*time.Millisecond, p.acknowledge())
+	c.Decide(time.Second+50*time.Millisecond, p.finish())
+	answered := func() float64 {
+		total := 0.0
+		for _, l := range c.AnswerInquiry(2*time.Second, []mark.Mark{p.markNumber()}) {
+			total += l.Evidence.Answered
+		}
+		return total
+	}
+	if answered() == 0 {
+		t.Fatal("no evidence of an answer")
+	}
+	moved := serverOf(feedService, near, 1)
+	moved.Service, moved.Revision = ledgerService, 2
+	c.Adopt(2*time.Second, d.WithServer(moved))
+	if n := answered(); n != 0 {
+		t.Errorf("evidence of %v answers of the other service", n)
+	}
+}
+
+// Guards against limits in time that two instances extend by turns, as each report is older
+// than it says.
+func TestAgedLoadEndsEarlier(t *testing.T) {
+	l := forwarding.Load{AliveAge: time.Second, FailedAge: 2 * time.Second, ColdLeft: 500 * time.Millisecond, EjectedLeft: time.Millisecond}
+	want := forwarding.Load{AliveAge: 1100 * time.Millisecond, FailedAge: 2100 * time.Millisecond, ColdLeft: 400 * time.Millisecond, EjectedLeft: time.Millisecond}
+	if d := cmp.Diff(want, l.Aged(100*time.Millisecond)); d != "" {
+		t.Error(d)
+	}
+	if got := (forwarding.Load{ColdLeft: 50 * time.Millisecond, EjectedLeft: time.Second}).Aged(100 * time.Millisecond); got.ColdLeft != 0 || got.EjectedLeft != 900*time.Millisecond {
+		t.Errorf("cold for %v, ejected for %v", got.ColdLeft, got.EjectedLeft)
+	}
+}
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -45,6 +45,19 @@
 	EjectedLeft time.Duration
 }
 
+// Aged returns the load as it is that much later, if nothing has changed: without that, two
+// instances that report to each other would extend what ends at a time.
+func (l Load) Aged(by time.Duration) Load {
+	l.FailedAge += by
+	l.AliveAge += by
+	l.ColdLeft = max(l.ColdLeft-by, 0)
+	if l.EjectedLeft > 0 {
+		// While it is probed, a server counts as ejected for this shortest time.
+		l.EjectedLeft = max(l.EjectedLeft-by, time.Millisecond)
+	}
+	return l
+}
+
 // report holds another instance's loads and the time when they were received.
 type report struct {
 	received time.Duration
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -74,7 +74,14 @@
 			changed = true
 			return
 		}
-		changed = changed || before == nil || before.Service != after.Service
+		if before != nil && before.Service != after.Service {
+			changed = true
+			if v := c.servers.byMark[mark.Of(after.ID)]; v != nil && v.ID == after.ID {
+				// The health was compared with servers of another service.
+				v.health = capacity.Server{}
+			}
+		}
+		changed = changed || before == nil
 		if v := c.servers.update(now, mark.Of(after.ID), *after); v != nil {
 			// The server was restarted: its earlier flows are gone.
 			c.flows.removeServer(v)
--- a/pkg/connection/forwarding/restart.go
+++ b/pkg/connection/forwarding/restart.go
@@ -160,7 +160,7 @@
 	if r.firstSign > 0 {
 		c.addRestartEvent(now, v, o)
 	}
-	r.firstSign, r.lastSign, r.startedBy, r.announced, r.settled = 0, 0, 0, false, max(r.settled, until)
+	r.firstSign, r.lastSign, r.startedBy, r.unanswered, r.announced, r.settled = 0, 0, 0, 0, false, max(r.settled, until)
 }
 
 // settleSigns ends the questions that answers, the directory or time have decided.
@@ -313,6 +313,7 @@
 	var loads []Load
 	for _, v := range c.servers.sorted {
 		if len(loads) == maxNotices {
+			c.noticesDue = true
 			break
 		}
 		if r := &v.restart; r.firstSign > 0 && !r.announced && (v.observed.failures > 0 || r.startedBy > 0) {
--- a/pkg/connection/forwarding/restart_test.go
+++ b/pkg/connection/forwarding/restart_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -403,3 +405,24 @@
 		t.Errorf("events %+v", events)
 	}
 }
+
+// Guards against servers that other instances are never told of, as one notice has room for
+// a part of them.
+func TestAllDoubtedServersAreAnnounced(t *testing.T) {
+	const servers = 100
+	c := newCore(sized(servers, 1))
+	tried := make(map[mark.Mark]bool)
+	for range servers {
+		tried[c.Decide(time.Second, newCaller(routeOf(0)).open(0)).Mark] = true
+	}
+	c.Tick(time.Second+200*time.Millisecond, maxFlow)
+	announced := make(map[mark.Mark]bool)
+	for range servers {
+		for _, l := range c.Notices(time.Second + 200*time.Millisecond) {
+			announced[l.Mark] = true
+		}
+	}
+	if d := cmp.Diff(tried, announced); d != "" {
+		t.Errorf("tried and announced: %s", d)
+	}
+}
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -49,11 +49,9 @@
 	// notify tells other instances of the data centre of backend servers that may have
 	// been started anew.
 	notify func([]forwarding.Load)
-	// published are the core's loads as of the last tick, for the exchange, and
-	// publishedPressures its pressures.
-	published          atomic.Pointer[publishedLoads]
-	publishedPressures atomic.Pointer[[]admission.Pressure]
-	suspension         suspension
+	// published are the core's loads and pressures as of the last tick, for the exchange.
+	published  atomic.Pointer[published]
+	suspension suspension
 }
 
 // peerLoads are the loads of backend servers and the pressures of services that another
@@ -151,22 +149,23 @@
 	}
 }
 
-// loads returns the loads that this instance's flows show, as of the last tick, and none if
-// that is too long ago. The caller must not change the slice.
-func (d *decider) loads() []forwarding.Load {
-	if p := d.published.Load(); p != nil && d.host.Now()-p.at <= maxLoadsAge {
-		return p.loads
+// reports returns the loads that this instance's flows show, and what it reports of services
+// that are short, as of the last tick, and nothing if that is too long ago. The caller must
+// not change the pressures.
+func (d *decider) reports() ([]forwarding.Load, []admission.Pressure) {
+	p := d.published.Load()
+	if p == nil {
+		return nil, nil
 	}
-	return nil
-}
-
-// pressures returns what this instance reports of services that are short, as of the last
-// tick. The caller must not change the slice.
-func (d *decider) pressures() []admission.Pressure {
-	if p := d.publishedPressures.Load(); p != nil {
-		return *p
+	age := d.host.Now() - p.at
+	if age > maxLoadsAge {
+		return nil, nil
+	}
+	loads := make([]forwarding.Load, len(p.loads))
+	for i, l := range p.loads {
+		loads[i] = l.Aged(age)
 	}
-	return nil
+	return loads, p.pressures
 }
 
 // run handles the receiver's packets until the context ends or the receiver stops.
@@ -267,9 +266,7 @@
 		d.observer.recordServed(d.core.Served())
 	}
 	d.observer.logSummary(now)
-	d.published.Store(&publishedLoads{at: now, loads: d.core.Loads(now)})
-	pressures := d.core.Pressures()
-	d.publishedPressures.Store(&pressures)
+	d.published.Store(&published{at: now, loads: d.core.Loads(now), pressures: d.core.Pressures()})
 }
 
 // sendNotices sends what other instances should know at once.
--- a/pkg/process/entry/era.go
+++ b/pkg/process/entry/era.go
@@ -35,7 +35,7 @@
 		return
 	}
 	s.restorations.Add(1)
-	next := s.transition.Restore(s.now(), now, s.readLocked(changes, from))
+	next := s.transition.Restore(s.now(), now, s.readLocked(s.transition.Read(), changes, from))
 	held := s.transition.Held()
 	s.log.WarnContext(logs.Always(), "Store: restored from an older copy; its content replaces the replica.",
 		"EraBefore", before.Era, "RevisionBefore", before.Revision, "Era", now.Era, "Revision", now.Revision, "Changed", len(changes), "From", from,
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -119,9 +119,10 @@
 func (e *exchange) sendState() {
 	defer e.guards.exchange.Contain()
 	began := e.host.Now()
-	m := wire.Message{Hello: e.state.hello(), Pressures: e.decider.pressures()}
+	loads, pressures := e.decider.reports()
+	m := wire.Message{Hello: e.state.hello(), Pressures: pressures}
 	if !m.Hello.Following {
-		m.Loads = e.decider.loads()
+		m.Loads = loads
 	}
 	datagram, ok := e.encode(m)
 	if !ok {
--- a/pkg/process/entry/freshness.go
+++ b/pkg/process/entry/freshness.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
@@ -35,10 +36,11 @@
 	resumeLimit = 400 * time.Millisecond
 )
 
-// publishedLoads are the core's loads as of a tick.
-type publishedLoads struct {
-	at    time.Duration
-	loads []forwarding.Load
+// published are the core's loads and pressures as of a tick.
+type published struct {
+	at        time.Duration
+	loads     []forwarding.Load
+	pressures []admission.Pressure
 }
 
 // suspension tells a decider that was suspended from one that had nothing to do. Only the
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -26,13 +26,13 @@
 
 	mu      sync.Mutex
 	replica *replica.Replica
-	// stretch is the setting for the transition.
-	stretch time.Duration
 	// transition holds the directory that the replica gives; directory is the one in
 	// force, which differs for a while after the store was restored.
 	transition *transition.Core
 	directory  directory.Directory
 	members    *membership.Core
+	// era is that of the directory in force.
+	era uint64
 	// discarded is set from a panic until all keys are read from the store again.
 	discarded bool
 	// unusable counts the entries that couldn't be used.
@@ -56,7 +56,7 @@
 	self := membership.Member{Name: o.Name, DataCentre: o.DataCentre, Endpoint: o.Peers}
 	return &state{
 		translate: o.Translate, decider: d, readiness: r, log: o.Logger, now: now,
-		replica: replica.New(), stretch: o.MaxStretch, transition: transition.New(o.MaxStretch), directory: directory.New(), members: membership.New(self, o.Seeds, o.Seed),
+		replica: replica.New(), transition: transition.New(o.MaxStretch), directory: directory.New(), members: membership.New(self, o.Seeds, o.Seed),
 	}
 }
 
@@ -151,17 +151,25 @@
 	if s.discarded && from != fromStore {
 		return true
 	}
-	s.discarded = false
 	before := s.replica.Position()
 	changes, ok := s.replica.Apply(b)
+	if !ok {
+		return false
+	}
+	afterDiscard := s.discarded
+	s.discarded = false
 	s.orDiscardLocked(func() {
-		if s.replica.Position().Era != before.Era {
+		switch {
+		case afterDiscard:
+			s.readAgainLocked(changes, from)
+		case s.replica.Position().Era != before.Era:
 			s.beginEra(before, changes, from)
-		} else {
+		default:
 			s.translateLocked(changes, from)
 		}
+		s.era = s.replica.Position().Era
 	})
-	return ok
+	return true
 }
 
 // orDiscardLocked makes a step that changes the directory, and discards the replica if it
@@ -182,7 +190,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	read := s.readLocked(changes, from)
+	read := s.readLocked(s.transition.Read(), changes, from)
 	if deleted := s.withoutDeletedLocked(changes); deleted != nil {
 		s.adoptLocked(s.transition.Delete(s.now(), *deleted, read), from)
 		return
@@ -190,9 +198,23 @@
 	s.adoptLocked(s.transition.Update(s.now(), read), from)
 }
 
-// readLocked returns the directory that the replica gives after changes.
-func (s *state) readLocked(changes []replica.Change, from string) directory.Directory {
-	read, problems := s.translate(s.transition.Read(), changes)
+// readAgainLocked applies all keys after the replica was discarded. What is held after a
+// restoration stays, and a configuration in force isn't replaced by an older one.
+func (s *state) readAgainLocked(changes []replica.Change, from string) {
+	now := s.replica.Position()
+	s.members.SetEra(now.Era)
+	read := s.readLocked(s.transition.Read().WithoutEntries(), changes, from)
+	if now.Era > s.era {
+		s.restorations.Add(1)
+		s.adoptLocked(s.transition.Restore(s.now(), now, read), from)
+		return
+	}
+	s.adoptLocked(s.transition.Update(s.now(), read), from)
+}
+
+// readLocked returns the directory that the replica gives after changes to an earlier one.
+func (s *state) readLocked(before directory.Directory, changes []replica.Change, from string) directory.Directory {
+	read, problems := s.translate(before, changes)
 	s.unusable.Add(uint64(len(problems)))
 	for _, p := range problems {
 		s.log.Warn("Directory: an entry can't be used.", "Error", p, "From", from)
@@ -214,10 +236,8 @@
 
 // discardLocked discards the replica after a panic, as it has changes that the directory
 // lacks. All keys are read again from the store, as the replica of another instance may be
-// older than the discarded one; until then the decider keeps the last directory.
-func (s *state) discardLocked() {
-	s.replica, s.transition, s.directory, s.discarded = replica.New(), transition.New(s.stretch), directory.New(), true
-}
+// older than the discarded one; until then the last directory stays in force.
+func (s *state) discardLocked() { s.replica, s.discarded = replica.New(), true }
 
 func registeredMembers(d directory.Directory) []membership.Member {
 	instances := d.Instances()
--- a/pkg/version/directory/directory.go
+++ b/pkg/version/directory/directory.go
@@ -230,6 +230,13 @@
 	return d
 }
 
+// WithoutEntries returns d with nothing but its configuration.
+func (d Directory) WithoutEntries() Directory {
+	empty := New()
+	d.servers, d.evacuated, d.instances = empty.servers, empty.evacuated, empty.instances
+	return d
+}
+
 // Server returns a backend server by its identifier.
 func (d Directory) Server(id string) (Server, bool) {
 	index, found := slices.BinarySearchFunc(d.servers, id, func(s Server, id string) int { return strings.Compare(s.ID, id) })
