--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -24,6 +24,9 @@
 	controlBytesPerSecond = 3000
 	// periodBytes is the part of that budget for one ExchangePeriod.
 	periodBytes = int(controlBytesPerSecond * ExchangePeriod / time.Second)
+	// reportBytesPerSecond is the part of it for reports with health. The rest is for the
+	// message that the budget of earlier periods may pay for.
+	reportBytesPerSecond = 2600
 	// maxDatagramBytes is the longest message that is expected; longer datagrams may
 	// be fragmented on the way.
 	maxDatagramBytes = 1400
@@ -116,9 +119,10 @@
 func (e *exchange) sendState() {
 	defer e.guards.exchange.Contain()
 	began := e.host.Now()
-	m := wire.Message{Hello: e.state.hello(), Pressures: e.decider.pressures()}
+	loads, pressures := e.decider.reports()
+	m := wire.Message{Hello: e.state.hello(), Pressures: pressures}
 	if !m.Hello.Following {
-		m.Loads = e.decider.loads()
+		m.Loads = loads
 	}
 	datagram, ok := e.encode(m)
 	if !ok {
@@ -143,11 +147,12 @@
 	e.sendDatagram(began, datagram, peers)
 }
 
-// affordable adds a period's budget, less the bytes of notices, to what is left of the last
-// one's, and returns how many messages of that length it pays for, which it takes off.
-// Reports with health fill a datagram, which is more than a period's budget.
+// affordable adds a period's budget for reports, less the bytes of notices, to what is left
+// of the last one's, and returns how many messages of that length it pays for, which it
+// takes off. Reports with health fill a datagram, which is more than a period's budget.
 func (e *exchange) affordable(length, notices int) int {
-	e.saved = min(e.saved+periodBytes-notices, max(length, periodBytes))
+	const period = int(reportBytesPerSecond * ExchangePeriod / time.Second)
+	e.saved = min(e.saved+period-notices, length+period)
 	n := max(e.saved, 0) / length
 	e.saved -= n * length
 	return n
