--- a/pkg/process/entry/contained_test.go
+++ b/pkg/process/entry/contained_test.go
@@ -101,21 +101,28 @@
 	waitUntil(t, "the change", func() bool { return strings.Contains(log.String(), `"Version":2`) })
 }
 
+// panicsOnceAt returns a translation that panics at the first change of a key, and counts
+// the changes.
+func panicsOnceAt(key string) (entry.Translate, *atomic.Int64) {
+	seen := &atomic.Int64{}
+	return func(d directory.Directory, changes []replica.Change) (directory.Directory, []error) {
+		for _, c := range changes {
+			if c.Key == key && seen.Add(1) == 1 {
+				panic("a value that nobody thought of")
+			}
+		}
+		return platform.Translate(d, changes)
+	}, seen
+}
+
 // A panic between replica and directory leaves a replica with changes that the directory
 // lacks. They must not be lost: everything is read again from the store.
 func TestChangeAtWhichTheDirectoryPanickedIsReadAgain(t *testing.T) {
 	stand, store := stores(t)
 	stand.Put("op/config", fmt.Appendf(nil, configuration, 1))
 	o := options(t, "entry-1", store)
-	var panics atomic.Int64
-	o.Translate = func(d directory.Directory, changes []replica.Change) (directory.Directory, []error) {
-		for _, c := range changes {
-			if c.Key == "servers/i-2" && panics.Add(1) == 1 {
-				panic("a value that nobody thought of")
-			}
-		}
-		return platform.Translate(d, changes)
-	}
+	translate, panics := panicsOnceAt("servers/i-2")
+	o.Translate = translate
 	var log lockedBuffer
 	o.Logger = slog.New(slog.NewJSONHandler(&log, nil))
 	start(t, o)
--- a/pkg/process/entry/discard_test.go
+++ b/pkg/process/entry/discard_test.go
@@ -3,12 +3,7 @@
 import (
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"testing"
-
-	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
-	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
-	"github.com/tanagerweir/tanagerweir/platform"
 )
 
 // Guards against a panic that undoes what stays in force after the store was restored: the
@@ -19,15 +14,8 @@
 	stand.SetEra(1)
 	stand.Put("op/config", fmt.Appendf(nil, configuration, 3))
 	o := options(t, "entry-1", store)
-	var panics atomic.Int64
-	o.Translate = func(d directory.Directory, changes []replica.Change) (directory.Directory, []error) {
-		for _, c := range changes {
-			if c.Key == "servers/i-2" && panics.Add(1) == 1 {
-				panic("a value that nobody thought of")
-			}
-		}
-		return platform.Translate(d, changes)
-	}
+	translate, panics := panicsOnceAt("servers/i-2")
+	o.Translate = translate
 	log := startLogged(t, o)
 	copied := stand.Copy()
 	stand.Put("op/evacuate/far", []byte("{}"))
