Refuse a batch of a newer era that has no revision

Cause: a malformed batch with an era and without a revision replaced a replica's keys and left it at revision 0, which means empty.

--- a/pkg/version/replica/era_test.go
+++ b/pkg/version/replica/era_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+// Guards against a malformed batch that leaves a replica with keys and without a revision: the
+// store's revisions begin above 0.
+func TestBatchOfANewerEraWithoutARevisionIsRefused(t *testing.T) {
+	r := replica.New()
+	r.Apply(replica.Batch{Whole: true, Era: 1, Revision: 8})
+	if changed, ok := r.Apply(replica.Batch{Whole: true, Era: 48, Changes: []replica.Change{written("a", "1", 0)}}); ok || len(changed) > 0 {
+		t.Errorf("applied %v: %v", ok, changed)
+	}
+	if d := cmp.Diff(replica.Position{Era: 1, Revision: 8}, r.Position()); d != "" {
+		t.Error(d)
+	}
+}
+
 // Guards against changes that are applied to keys of another era, or to an era that the
 // replica has left: neither may change a key, nor count as applied.
 func TestOnlyWholeBatchesOfANewerEraAreApplied(t *testing.T) {
--- a/pkg/version/replica/replica.go
+++ b/pkg/version/replica/replica.go
@@ -115,7 +115,7 @@
 
 // Apply applies a batch and returns the changes that were new. It returns false
 // and leaves the copy unchanged if the batch starts after the copy's revision, is of an
-// older era, or isn't a whole one although the copy is empty or of an older era. Of an
+// older era, or isn't a whole one with a revision although the copy is empty or of an older era. Of an
 // older batch of the same era only the early changes have an effect.
 //
 // A batch of a newer era replaces all keys; the changes are then those whose value
@@ -123,7 +123,7 @@
 func (r *Replica) Apply(b Batch) ([]Change, bool) {
 	b.Changes = withEra(b.Changes, b.Era)
 	switch {
-	case b.Era < r.era || b.Era > r.era && !b.Whole:
+	case b.Era < r.era || b.Era > r.era && (!b.Whole || b.Revision == 0):
 		return nil, false
 	case b.Era > r.era:
 		return r.replaceEra(b), true
--- a/service/entry/fuzz_test.go
+++ b/service/entry/fuzz_test.go
@@ -178,6 +178,7 @@
 func FuzzDecodeBatch(f *testing.F) {
 	f.Add(marshal(f, extreme().Batch))
 	f.Add(marshal(f, &entry.Batch{Whole: true, Revision: 9, Changes: []*entry.Change{{Key: "k", Value: []byte("v"), Revision: 9}}}))
+	f.Add(marshal(f, &entry.Batch{Whole: true, Era: 48, Changes: []*entry.Change{{Key: "k", Revision: 0}}}))
 	f.Add(marshal(f, &entry.Batch{After: 8, Revision: 1 << 53, Changes: []*entry.Change{{Key: "k", Deleted: true, Revision: 9}, {Key: "l", Revision: 1 << 53}}}))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		b, err := entry.DecodeBatch(body)
