Stop counting requests as running that a server has overtaken

Cause: an instance counts a request as running until it sees the answer acknowledged. When routers lead the flow's packets to another instance, as after one has lost power and returned, it never does, and the request counted for the idle timeout (15 s).

Ruled out: expiry by age alone, as a server that answers nothing would look idle after it.

Change: a request stops counting once the server has answered one that was sent 0.5 s later, or four of its answer times later if that is longer.

--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -20,8 +20,16 @@
 	// defaultIdleTimeout is how long a flow without packets counts as open if
 	// operators set no idle timeout.
 	defaultIdleTimeout = 15 * time.Second
-	// sweepPeriod is the time between two searches for idle flows.
-	sweepPeriod = time.Second
+	// sweepPeriod is the time between two searches for idle flows, and overtakenPeriod
+	// between two for overtaken requests.
+	sweepPeriod     = time.Second
+	overtakenPeriod = 250 * time.Millisecond
+	// overtakenFor is how much later than a request another one has to be sent whose answer
+	// shows that the first isn't at the server any more. It is longer than the work of a
+	// request, and overtakenTimes of the server's average answer time at least, as work at
+	// slow servers takes longer.
+	overtakenFor   = 500 * time.Millisecond
+	overtakenTimes = 4
 )
 
 // flow is the record of what this instance has seen of a flow.
@@ -47,6 +55,10 @@
 	requests int
 	// waiting is true if a request was sent and no answer has come since.
 	waiting bool
+	// overtaken is true if the server has answered requests that were sent much later than
+	// the waiting one. Its answer was acknowledged at another instance, so that it no longer
+	// counts as running.
+	overtaken bool
 	// failureCounted is true if the present wait, for the opening or for an answer,
 	// already counts as a failure of the backend server.
 	failureCounted bool
@@ -82,7 +94,7 @@
 	case !f.stored:
 	case f.server != nil:
 		f.server.observed.openFlows += sign
-		if f.waiting {
+		if f.waiting && !f.overtaken {
 			f.server.observed.running += sign
 		}
 	case f.lastTried() != nil:
@@ -96,6 +108,8 @@
 	byKey     map[segment.Flow]*flow
 	free      []*flow
 	lastSweep time.Duration
+	// lastOvertaken is when sweepOvertaken last ran.
+	lastOvertaken time.Duration
 	// openings are the latest opening packets, in the order of their times.
 	openings []openingPacket
 }
@@ -175,6 +189,41 @@
 	return nil
 }
 
+// checkOvertaken stops counting the flow's request as running if the server has overtaken
+// it: servers take requests in the order in which they arrive.
+func (f *flow) checkOvertaken() {
+	if !f.waiting || f.overtaken || f.server == nil {
+		return
+	}
+	o := &f.server.observed
+	if o.answeredSent-f.lastSent > max(overtakenFor, overtakenTimes*o.answerTime) {
+		f.overtaken = true
+		o.running--
+	}
+}
+
+// endWait records that the flow's request was answered.
+func (f *flow) endWait() {
+	if !f.waiting {
+		return
+	}
+	if !f.overtaken {
+		f.server.observed.running--
+	}
+	f.waiting, f.overtaken = false, false
+}
+
+// sweepOvertaken stops counting requests that their servers have overtaken.
+func (t *flows) sweepOvertaken(now time.Duration) {
+	if now-t.lastOvertaken < overtakenPeriod {
+		return
+	}
+	t.lastOvertaken = now
+	for _, f := range t.byKey {
+		f.checkOvertaken()
+	}
+}
+
 // sweep removes the records of flows that were idle for too long.
 func (t *flows) sweep(now, idle time.Duration) {
 	if now-t.lastSweep < sweepPeriod {
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -347,6 +347,7 @@
 	c.servers.expire(now, maxFlow)
 	c.checkOpenings(now)
 	c.flows.sweep(now, c.directory.IdleTimeout())
+	c.flows.sweepOvertaken(now)
 	for _, v := range c.servers.sorted {
 		v.observed.average += averageWeight * (float64(v.observed.running) - v.observed.average)
 	}
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -63,6 +63,9 @@
 	// and lastFailure when the last of them was noticed.
 	failures    int
 	lastFailure time.Duration
+	// answeredSent is when the latest of the requests that were answered was sent, and
+	// answerTime the average time of an answer.
+	answeredSent, answerTime time.Duration
 	// lastCaller is the caller whose opening was the last to count as a failure.
 	lastCaller netip.Addr
 	// stuck is how many of the failures were flows that had been open.
@@ -105,6 +108,15 @@
 	o.lastAlive, o.failures, o.stuck, o.backoff = now, 0, 0, 0
 }
 
+// recordAnswerTime records the answer of a request that was sent at a time.
+func (o *observations) recordAnswerTime(sent, waited time.Duration) {
+	o.answeredSent = max(o.answeredSent, sent)
+	o.answerTime += (waited - o.answerTime) / answerTimeWeight
+}
+
+// answerTimeWeight is the number of answers over which a server's answer time is averaged.
+const answerTimeWeight = 16
+
 // forgive forgets the failures so far.
 func (o *observations) forgive() { o.failures, o.stuck, o.backoff, o.nextTrial = 0, 0, 0, 0 }
 
@@ -266,7 +278,9 @@
 	if f.acknowledge(s) {
 		c.signOfLife(now, v)
 		c.recordRun(now, v, f.openSince)
-		events.answered, events.waited = waiting, now-f.lastSent
+		if events.answered, events.waited = waiting, now-f.lastSent; waiting {
+			v.observed.recordAnswerTime(f.lastSent, events.waited)
+		}
 		events.first = f.requests == 1 && f.lastTried() != nil
 	}
 	waiting = f.waiting
@@ -290,7 +304,7 @@
 func (c *Core) established(now time.Duration, s segment.Segment, f *flow, v *server) {
 	openedHere := f.lastTried() != nil && s.Sequence-f.opening <= maxFirstSequence
 	f.countLoad(-1)
-	f.server, f.waiting, f.openSince = v, false, now
+	f.server, f.waiting, f.overtaken, f.openSince = v, false, false, now
 	f.sentEnd, f.acknowledged = s.Sequence, s.Acknowledged
 	f.countLoad(1)
 	if !openedHere {
@@ -307,10 +321,7 @@
 		return false
 	}
 	f.acknowledged = s.Acknowledged
-	if f.waiting {
-		f.waiting = false
-		f.server.observed.running--
-	}
+	f.endWait()
 	return true
 }
 
