Admit by the requests that run, not by rates of answers

Cause: an instance of a small fleet sees some ten answers in 0.1 s, so that a rate taken from them wavers, and the admitted rate followed it with a lag: of 14 servers' room a fifth to a third was left unused in a crowd, while queues filled before it was noticed. An instance that started amid a crowd learnt from overloaded servers how long idle ones take, took good answers for errors, and refused callers for 12 s after the crowd. All servers counted as started anew when callers had left while no instance ran, so that one of 14 was used.

Change: in a shortage as many requests may run for an instance as keep the queueing delay at its aim, by its share of the slots and of the demand, corrected by the delay; a more urgent class may take 1.75 times as many. The window of callers only holds where few places are free. A crowd is noticed by the own running requests, before any answer. Until answers of idle servers are known their time is estimated from loaded ones. Requests that can't be at a server any more, and those at servers that don't answer, aren't load. Servers that a data centre lacks are made up for by its part of all. Unanswered openings show nothing until a flow was seen to open.

--- a/pkg/connection/admission/admission.go
+++ b/pkg/connection/admission/admission.go
@@ -156,7 +156,11 @@
 	if !ok {
 		return true
 	}
-	return s.admit(r.class, func() float64 { return c.position(now, caller) })
+	admitted := s.admit(r.class, func() float64 { return c.position(now, caller) })
+	if admitted {
+		c.checkOnset(now, s)
+	}
+	return admitted
 }
 
 // position returns where in the moving range, 0 to 1, the caller is. The callers below
@@ -188,6 +192,13 @@
 	c.checkOnset(now, s)
 }
 
+// Opened records that a flow was opened, so long after its opening packet.
+func (c *Core) Opened(serviceName string, took time.Duration) {
+	if s, ok := c.services[serviceName]; ok {
+		s.opened(took)
+	}
+}
+
 // Unopened records that an opening packet went to a server of the service and no further
 // packet of its flow followed.
 func (c *Core) Unopened(now time.Duration, serviceName string) {
@@ -197,11 +208,19 @@
 	}
 }
 
-// SetLoad records how many requests the usable servers of a service can carry at once,
-// and how many they are known to have. Call it before each Tick.
-func (c *Core) SetLoad(serviceName string, capacity, running float64) {
+// Load is what is known of the load of a service's usable servers.
+type Load struct {
+	// Capacity is how many requests they carry at once, and Running how many they have.
+	Capacity, Running float64
+	// Own is how many of all requests run for this instance, and Instances the number of
+	// instances that send to the servers, this one included.
+	Own, Instances int
+}
+
+// SetLoad records the load of a service. Call it before each Tick.
+func (c *Core) SetLoad(serviceName string, l Load) {
 	if s, ok := c.services[serviceName]; ok {
-		s.capacity, s.running = capacity, running
+		s.setLoad(l)
 	}
 }
 
--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -24,35 +23,80 @@
 // the next tick would fill the servers' queues.
 func (s *service) checkOnset(now time.Duration) (Event, bool) {
 	w := &s.window
-	if s.short || s.limit == 0 {
+	if s.short {
 		return Event{}, false
 	}
 	overdue := w.overdue >= minSamples && 2*w.overdue > w.answers && s.exceeded(now)
 	shedding := w.shed >= minSamples && w.shed > w.answers
+	crowded := s.crowded()
 	failing := w.failed >= minSamples && float64(w.failed) > onsetPart*float64(w.answers+w.failed)
-	if !overdue && !shedding && !failing {
+	if !overdue && !shedding && !failing && !crowded {
 		return Event{}, false
 	}
 	wait, n := s.median(queuedSamples)
-	if !overdue && !shedding && (n < queuedSamples || wait < time.Duration(queuedPart*float64(s.work))) {
+	if !overdue && !shedding && !crowded && (n < queuedSamples || wait < time.Duration(queuedPart*float64(s.work))) {
 		return Event{}, false
 	}
 	s.wait, s.samples, s.combined = wait, n, wait
-	s.begin(now)
+	s.begin(now, crowded)
 	return s.event(), true
 }
 
-// begin begins a shortage, with the rates of the present window where these are higher.
-func (s *service) begin(now time.Duration) {
-	s.short, s.since, s.calmSince, s.growing, s.ceiling = true, now, 0, 0, 0
-	seconds := max((now - s.window.started).Seconds(), minWindow)
-	s.share = max(s.answeredRate, float64(s.window.answers)/seconds)
+// begin begins a shortage. Where a delay shows it there are places for what runs at first, in
+// bounds, as the delay may come from a variation that passes.
+func (s *service) begin(now time.Duration, crowded bool) {
+	s.short, s.since, s.calmSince, s.correction = true, now, 0, 1
+	if s.shareSamples < steadySamples {
+		s.correction = backlogCorrection
+	}
+	if !crowded {
+		s.correction = min(max(float64(s.inFlight)/max(s.fairPlaces(), 1), 1), crowdFactor)
+	}
 	for i := range s.classes {
-		k := &s.classes[i]
-		k.demand = max(k.demand, float64(k.windowAsked)/seconds)
-		k.noneSince = 0
+		s.classes[i].fraction = 1
+	}
+}
+
+// answerRatio returns how many times as long as now answers take with the delay that is
+// aimed for. By Little's law the running requests are to change by the same factor.
+func (s *service) answerRatio() float64 {
+	ratio := float64(s.roundTrip+s.work+s.goal()) / float64(max(s.roundTrip+s.work+s.combined, 1))
+	if s.shedding {
+		ratio = min(ratio, sheddingRatio)
+	}
+	return ratio
+}
+
+// fairPlaces returns this instance's share of the requests that keep the delay at its aim, if
+// servers carry as many at once as is known.
+func (s *service) fairPlaces() float64 { return s.slots() * s.aSlot() }
+
+// slots returns this instance's share of the servers' slots.
+func (s *service) slots() float64 { return s.load.Capacity * s.demandShare() }
+
+// aSlot returns how many requests may run for each slot at the delay that is aimed for. A
+// request runs from its opening packet on, and its answer takes a round trip longer than the
+// server.
+func (s *service) aSlot() float64 {
+	if s.work == 0 {
+		return 1 + goalWork
+	}
+	return float64(s.roundTrip+s.work+s.goal()) / float64(max(s.work-s.roundTrip, s.work/2))
+}
+
+// demandShare returns the part of all requests that come to this instance, by the reports of
+// others or by what is usual. While instances come and go, callers' packets reach others than
+// before, and rates are those of backlogs.
+func (s *service) demandShare() float64 {
+	others := float64(max(s.load.Instances-1, 0))
+	even := 1 / (others + 1)
+	switch {
+	case s.shareSamples < steadySamples:
+		return even
+	case s.peers.asked > leastPeerAnswers:
+		return max(s.peers.ownAsked/(s.peers.ownAsked+others*s.peers.asked), leastShare*even)
 	}
-	s.divide(now, s.share)
+	return max(s.usualShare, even)
 }
 
 // excess is how many times the answers requests have to be for a delay to begin a
@@ -62,6 +106,25 @@
 // minWindow is the shortest time in seconds over which a rate is measured.
 const minWindow = 0.05
 
+// crowded reports whether clearly more requests run for this instance than its usual share
+// of those that the servers can take, which shows a crowd before any answer does.
+func (s *service) crowded() bool {
+	if s.load.Capacity == 0 || float64(s.inFlight) < max(crowdFactor*s.fairPlaces(), minSamples) {
+		return false
+	}
+	least := unknownCrowdLoad
+	if s.shareSamples >= usualSamples {
+		least = crowdLoad
+	}
+	return s.known() > least*s.load.Capacity
+}
+
+// known returns the number of requests at the servers: those of the last tick and those that
+// came to this instance since.
+func (s *service) known() float64 {
+	return s.load.Running + max(float64(s.inFlight-s.load.Own), 0)
+}
+
 // tick ends the window, and adapts the admitted rate while the service is short.
 func (s *service) tick(now time.Duration) (Event, bool) {
 	seconds := (now - s.window.started).Seconds()
@@ -69,13 +132,15 @@
 		return Event{}, false
 	}
 	s.measure(now, seconds)
+	s.ticks++
+	s.history[s.ticks%len(s.history)] = moment{inFlight: s.inFlight, load: s.load.Running / max(s.load.Capacity, 1)}
 	s.updateLimit()
 	changed := false
 	if s.short {
 		s.control(now)
 		changed = !s.short
 	} else if s.overdue(now) {
-		s.begin(now)
+		s.begin(now, false)
 		changed = true
 	}
 	event := s.event()
@@ -85,7 +150,8 @@
 	s.window = window{started: now}
 	s.waits[0], s.waits[1] = s.waits[1][:0], s.waits[0]
 	for i := range s.classes {
-		s.classes[i].windowAsked, s.classes[i].windowRefused = 0, 0
+		k := &s.classes[i]
+		k.windowAsked, k.windowOutside, k.windowCrowded = 0, 0, 0
 	}
 	return event, changed
 }
@@ -121,9 +187,10 @@
 	for i := range s.classes {
 		k := &s.classes[i]
 		asked += k.windowAsked
-		refused += k.windowRefused
-		s.measureDemand(k, seconds)
+		refused += k.windowOutside + k.windowCrowded
+		k.rate += rateWeight * (float64(k.windowAsked)/seconds - k.rate)
 	}
+	s.window.refused = refused
 	average := func(rate *float64, count int) { *rate += rateWeight * (float64(count)/seconds - *rate) }
 	average(&s.askedRate, int(asked))
 	average(&s.admittedRate, int(asked-refused))
@@ -138,35 +205,6 @@
 	s.failedAverage += rateWeight * (s.failed - s.failedAverage)
 }
 
-// measureDemand estimates the rate of a class's requests. Requests that are admitted
-// count once, as the callers are drawn by a hash; refused ones may make several attempts.
-func (s *service) measureDemand(k *class, seconds float64) {
-	refused := float64(k.windowRefused) / seconds
-	k.refusedRate += rateWeight * (refused - k.refusedRate)
-	fraction := 1.0
-	if s.short {
-		fraction = k.fraction
-	}
-	admitted := float64(k.windowAsked-k.windowRefused) / seconds
-	k.demand += rateWeight / max(fraction, leastFraction) * (admitted - fraction*k.demand)
-	if rest := 1 - fraction; rest > leastFraction {
-		refused := min(k.refusedRate, most(k.windowRefused, seconds))
-		k.demand = max(k.demand, refused/attemptsOfRejected/rest)
-	}
-	k.demand = max(min(k.demand, most(k.windowAsked, seconds)), 0)
-}
-
-// most returns the highest rate at which so few events in a window are likely: three
-// standard deviations above the mean.
-func most(events uint64, seconds float64) float64 {
-	n := float64(events)
-	return (n + 3*math.Sqrt(n) + 3) / seconds
-}
-
-// leastFraction is the part of a class that has to be admitted or refused to say
-// something of its demand.
-const leastFraction = 0.1
-
 // updateLimit updates the average work and the limit of the delay.
 func (s *service) updateLimit() {
 	var total time.Duration
@@ -184,64 +222,51 @@
 	}
 }
 
-// control adapts the share and divides the rate over the classes.
+// control adapts the number of requests that may run for this instance, and the part of
+// each class's callers among whom they are chosen.
 func (s *service) control(now time.Duration) {
-	s.followPeers()
 	// Idle servers without a delay shed nothing: their short answers are good ones.
 	idle := s.isIdle() && s.wait < time.Duration(queuedPart*float64(s.work))
 	s.shedding = s.window.failed >= minSamples/2 && s.failed > shedPart && !idle
-	if s.shedding && s.wait > 0 {
-		s.ceiling = max(s.wait/2, s.work)
-	} else if s.ceiling > 0 {
-		s.ceiling = time.Duration(ceilingGrowth * float64(s.ceiling))
-	}
-	goal := s.goal()
-	overloaded := s.shedding || s.combined > s.limit
-	switch {
-	case overloaded && s.answeredRate < s.share:
-		s.share += overloadWeight * (s.answeredRate - s.share)
-	case s.answeredRate > s.share || 2*s.combined > goal:
-		// Servers with empty queues answer what is asked, which may be less than they could.
-		s.share += shareWeight * (s.answeredRate - s.share)
-	}
-	if s.refusingProtected() {
-		goal = min(time.Duration(protectedGoal*float64(goal)), s.limit)
-	}
-	growth := 0.0
-	switch {
-	case !s.refusing() || s.shedding:
-	case s.isIdle():
-		growth = slowGrowth
-	default:
-		growth = slowGrowth * max(1-s.combined.Seconds()/goal.Seconds(), 0)
-	}
-	if growth > fastFrom*slowGrowth {
-		s.growing++
-		growth = min(growth*float64(int(1)<<max(min(s.growing, 16)-slowWindows, 0)), maxGrowth)
-	} else {
-		s.growing = 0
+	if s.work > 0 {
+		s.correct()
 	}
-	s.share *= 1 + growth
-	s.share = max(s.share, 1)
-	change := min(gain*goal.Seconds()/responseTime.Seconds(), maxGain)
-	factor := max(1+change*(1-s.combined.Seconds()/goal.Seconds()), leastRate)
-	if overloaded {
-		factor = min(factor, overloadFactor)
+	for i := range s.classes {
+		s.classes[i].adapt()
 	}
-	rate := s.share * factor
-	s.divide(now, rate)
 	s.end(now)
 }
 
-// refusing reports whether any class is refused in part.
-func (s *service) refusing() bool {
-	return slices.ContainsFunc(s.classes, func(k class) bool { return k.fraction < 1 })
+// correct adapts the places to the delay: fewer if it is longer than aimed for, more if it is
+// shorter and there are more requests than places.
+func (s *service) correct() {
+	ratio := s.answerRatio()
+	target := s.correction
+	switch {
+	case ratio < 1:
+		// The delay is the one of the requests that ran when the answered ones came.
+		before := s.past(s.work + s.combined).inFlight
+		target = min(target, float64(before)*ratio/max(s.fairPlaces(), 1))
+	case s.window.refused > 0:
+		target = max(target*ratio, 1)
+	default:
+		target = max(target, 1)
+	}
+	s.correction += correctionWeight * (target - s.correction)
+	// With a request at each slot a delay isn't one of queues, as where all servers are slow.
+	s.correction = min(max(s.correction, 1/s.aSlot()), greatestCorrection)
 }
 
-// refusingProtected reports whether other requests than the least urgent are refused.
-func (s *service) refusingProtected() bool {
-	last := s.leastUrgent()
-	return slices.ContainsFunc(s.classes[:last], func(k class) bool { return k.fraction < 1 })
+// adapt moves the part of the class's callers that may come: some more of them than there
+// are places for, so that no place stays free.
+func (k *class) adapt() {
+	came := k.windowAsked - k.windowOutside
+	switch {
+	case float64(k.windowCrowded) > crowdedPart*float64(came):
+		k.fraction = max(k.fraction*max(1-float64(k.windowCrowded)/float64(came)+crowdedPart, leastNarrowing), leastFraction)
+	case float64(k.windowCrowded) < crowdedPart/2*float64(came) || k.windowOutside > 0 && came == 0:
+		k.fraction = min(k.fraction*widening, 1)
+	}
 }
 
 // leastUrgent returns the index of the least urgent class with demand, which is the first
@@ -249,60 +274,17 @@
 func (s *service) leastUrgent() int {
 	last := 0
 	for i := range s.classes {
-		if s.classes[i].demand >= 1 {
+		if s.classes[i].rate >= 1 {
 			last = i
 		}
 	}
 	return last
 }
 
-// divide admits as many flows a second, the most urgent first.
-func (s *service) divide(now time.Duration, rate float64) {
-	last := s.leastUrgent()
-	for i := range s.classes {
-		k := &s.classes[i]
-		before := k.fraction
-		k.fraction = 1
-		if k.demand > 0 {
-			k.fraction = min(max(rate/k.demand, 0), 1)
-		}
-		if k.fraction < 1 && i < last && !s.othersRefused(now, i) && before >= 1 {
-			k.fraction = 1
-		}
-		rate -= k.fraction * k.demand
-	}
-	s.markRefused(now)
-}
-
-// markRefused records since when all classes after each one are refused.
-func (s *service) markRefused(now time.Duration) {
-	none := true
-	for i := len(s.classes) - 1; i >= 0; i-- {
-		k := &s.classes[i]
-		switch {
-		case !none:
-			k.noneSince = 0
-		case k.noneSince == 0:
-			k.noneSince = now
-		}
-		none = none && (k.fraction == 0 || k.demand == 0)
-	}
-}
-
-// othersRefused reports whether all requests less urgent than a class were refused for
-// long, and the servers still have more than they can carry.
-func (s *service) othersRefused(now time.Duration, index int) bool {
-	since := s.classes[index].noneSince
-	if since == 0 || now-since < protectedFor {
-		return false
-	}
-	return s.failedAverage > protectedShed && s.combined > s.limit || s.combined > protectedDelay*s.limit && now-since >= drainedAfter
-}
-
 // end ends the shortage once everything was admitted for long enough.
 func (s *service) end(now time.Duration) {
 	switch {
-	case s.refusing() || s.combined > s.limit:
+	case s.window.refused > 0 || s.combined > s.limit:
 		s.calmSince = 0
 	case s.calmSince == 0:
 		s.calmSince = now
--- a/pkg/connection/admission/pressure.go
+++ b/pkg/connection/admission/pressure.go
@@ -20,10 +20,6 @@
 	leastPeerAnswers = 1.0 / 16
 	// pressureMaxAge is how long another instance's report counts.
 	pressureMaxAge = 3 * time.Second
-	// levelWeight is how far one report moves the own level towards the sender's, if
-	// both instances have the same number of answers. An instance gets some three
-	// reports a second, so that levels converge within a few seconds.
-	levelWeight = 0.3
 )
 
 // Pressure is what an instance observes of a service that is short of capacity.
@@ -47,9 +43,10 @@
 type peers struct {
 	updated       time.Duration
 	answers, wait float64
-	// ratio is the logarithm of how many times the own level the reports since the last
-	// tick ask for.
-	ratio float64
+	// asked is the sum of the rates that others reported, and ownAsked that of the own rate
+	// at these times: a rate that was reported before a crowd began can't be compared with
+	// a later one.
+	asked, ownAsked float64
 }
 
 func (p *peers) age(now time.Duration) {
@@ -59,6 +56,7 @@
 			factor = 0
 		}
 		p.answers, p.wait = p.answers*factor, p.wait*factor
+		p.asked, p.ownAsked = p.asked*factor, p.ownAsked*factor
 		if p.answers < leastPeerAnswers {
 			// The remainder would decide alone where nothing is asked for.
 			p.answers, p.wait = 0, 0
@@ -101,17 +99,6 @@
 	s.peers.age(now)
 	s.peers.answers += float64(p.Answers)
 	s.peers.wait += float64(p.Answers) * p.Wait.Seconds()
-	level := s.level()
-	if !s.short || p.Level <= 0 || level <= 0 {
-		return
-	}
-	weight := 2 * levelWeight * float64(p.Answers) / float64(p.Answers+max(s.samples, 1))
-	s.peers.ratio += min(weight, levelWeight) * math.Log(p.Level/level)
-}
-
-// followPeers moves the share by what other instances reported since the last tick, at most
-// to half or twice as much: many reports may arrive at once.
-func (s *service) followPeers() {
-	s.share *= min(max(math.Exp(s.peers.ratio), 0.5), 2)
-	s.peers.ratio = 0
+	s.peers.asked += p.Asked
+	s.peers.ownAsked += s.askedRate
 }
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -21,20 +21,42 @@
 	// rateWeight is the weight of the latest window in the rates, which gives a time
 	// constant of about 0.3 s.
 	rateWeight = 0.3
-	// shareWeight is the weight of the latest window in the share of the capacity. It is
-	// lower, as the share follows what was admitted before.
-	shareWeight = 0.1
-	// responseTime is the time from an admission to the effect on the measured delay: the
-	// request's answer, half a window and the median over two.
-	responseTime = 250 * time.Millisecond
-	// gain times the goal in responseTime is the relative change of the rate at a delay
-	// of 0; the delay oscillates at gains above 1.
-	gain, maxGain = 0.4, 0.3
-	// overloadWeight replaces shareWeight, and overloadFactor bounds the rate, while
-	// servers shed or the delay is above its limit.
-	overloadWeight, overloadFactor = 0.5, 0.85
-	// leastRate bounds the reduction of the rate while the delay is above its limit.
-	leastRate = 0.5
+	// correctionWeight is the weight of the latest window in the correction of the places by
+	// the delay, and greatestCorrection bounds it.
+	correctionWeight, greatestCorrection = 0.2, 8
+	// shareWeight is the weight of the latest window in the usual share of an instance in the
+	// running requests, which gives a time constant of some seconds.
+	shareWeight  = 0.03
+	usualSamples = 20
+	ownWeight    = 0.2
+	// crowdFactor times its fair places is how many requests have to run for an instance to
+	// begin a shortage before any answer shows it, with crowdLoad requests a slot known to be
+	// at the servers: with less, other instances may have none. Until the usual share is known
+	// after usualSamples ticks, it takes unknownCrowdLoad.
+	crowdFactor, crowdLoad, unknownCrowdLoad = 2, 0.7, 1.5
+	// steadySamples is the number of ticks since an instance came or left after which rates
+	// show the shares of the instances, and leastShare the least share in the even one: a
+	// report may be wrong.
+	steadySamples = 10
+	leastShare    = 0.5
+	// backlogCorrection is the correction at first where instances have just come or left: a
+	// backlog of callers passes, and most of it can still be served in time.
+	backlogCorrection = 1.5
+	// tickPeriod is the time between two calls of Tick.
+	tickPeriod = 100 * time.Millisecond
+	// sheddingRatio bounds the change that is asked for while servers shed.
+	sheddingRatio = 0.5
+	// reserve is how many times the running requests a more urgent class may take than the
+	// least urgent one.
+	reserve = 1.75
+	// choosyFrom is the part of the places that are taken from which on only callers come
+	// that the window admits: while more are free, nobody is refused.
+	choosyFrom = 0.75
+	// crowdedPart is the part of the window's callers that find no free place. Without any,
+	// places would stay free as the callers' number varies. leastNarrowing and widening
+	// bound the change of the window in 0.1 s, and leastFraction the window.
+	crowdedPart, leastNarrowing, widening = 0.2, 0.5, 1.3
+	leastFraction                         = 0.02
 	// minSamples is the number of answers or failures that can begin a shortage.
 	minSamples = 8
 	// onsetPart is the part of the attempts at servers that have to be shed or fail to
@@ -46,29 +68,16 @@
 	queuedPart, queuedSamples = 0.5, 16
 	// shedPart is the part of the attempts that shows during a shortage that queues are
 	// full at the present delay: with work that varies by half, 3 % of the answers are as
-	// short as error responses. ceilingGrowth is how that delay is forgotten in each
-	// window.
-	shedPart, ceilingGrowth = 0.06, 1.02
-	// protectedFor is how long all less urgent requests have to be rejected until a more
-	// urgent class is rejected too, with servers that shed more than protectedShed: it
-	// fails in part anyway. Where servers hardly shed it takes drainedAfter and a delay of
-	// protectedDelay times the limit, half of the target, as full queues drain slowly
-	// where the more urgent requests just fit.
-	protectedFor, drainedAfter = 500 * time.Millisecond, time.Second
-	protectedShed              = 0.25
-	protectedDelay             = 2
-	// protectedGoal is how much longer the delay may be while a more urgent class is
-	// rejected. Data centres with much urgent demand thus get a part of the servers of
-	// others, whose less urgent requests are rejected at shorter delays.
-	protectedGoal = 1.75
+	// short as error responses.
+	shedPart = 0.06
 	// calmAfter is how long everything has to be admitted until a shortage ends.
 	calmAfter = 500 * time.Millisecond
-	// slowGrowth is the growth of the share in each window at a delay of 0, and less at
-	// longer ones. After slowWindows above fastFrom of it, it doubles with each window up
-	// to maxGrowth, so that all capacity is found within a second after servers returned.
-	slowGrowth, fastFrom, slowWindows, maxGrowth = 0.05, 0.75, 3, 0.4
 	// attemptsOfRejected is how many attempts a rejected request makes at most.
 	attemptsOfRejected = 3
+	// roundTripWeight is the number of openings over which the round trip is averaged.
+	roundTripWeight = 16
+	// queuedLoad is the load, in requests a slot, from which on servers may shed.
+	queuedLoad = 2.5
 	// idleLoad is the load, in requests a slot, below which servers count as idle.
 	idleLoad = 0.6
 	// ringSize is the number of answers whose median is the queueing delay.
@@ -91,8 +100,17 @@
 	// limit is the longest allowed queueing delay, and work the average baseline of the
 	// routes, 0 if none is known.
 	limit, work time.Duration
-	capacity    float64
-	running     float64
+	// roundTrip is the average time from an opening packet to the next packet of its flow.
+	roundTrip time.Duration
+	load      Load
+	// usualShare is the share of this instance in the running requests, over some seconds
+	// since the number of instances, sharedBy, last changed.
+	usualShare float64
+	sharedBy   int
+	// ownAverage is the average of the own requests that run, over half a second as in the
+	// reports of others.
+	ownAverage   float64
+	shareSamples int
 	// wait is the queueing delay that the last samples answers here showed, combined
 	// the one together with the reports of others.
 	wait, combined time.Duration
@@ -106,13 +124,13 @@
 
 	short bool
 	since time.Duration
-	// share is the rate of answers that the servers seem to have room for at this
-	// instance, and growing the number of windows in a row in which it grew.
-	share   float64
-	growing int
-	// ceiling is the delay that is aimed for since queues were full at longer ones, 0
-	// for none. It is at least the work, as failures may have other reasons.
-	ceiling time.Duration
+	// inFlight is the number of requests that run or wait at servers for this instance.
+	inFlight int
+	// history holds what was known at the latest ticks, of which there were so many.
+	history [16]moment
+	ticks   int
+	// correction is how many times the fair places requests may run in a shortage.
+	correction float64
 	// shedding says that servers shed a part of the requests of the last window.
 	shedding bool
 	// calmSince is since when everything is admitted.
@@ -128,16 +146,21 @@
 // class is the requests of one priority.
 type class struct {
 	priority int
-	// asked and refused are totals, and windowAsked and windowRefused those of the
-	// present window.
-	asked, refused, windowAsked, windowRefused uint64
-	// demand is the rate of requests, each counted once whatever its attempts, and
-	// refusedRate that of refused attempts.
-	demand, refusedRate float64
-	// fraction is the part of the callers that are admitted, and noneSince when it
-	// became 0 for all less urgent classes.
-	fraction  float64
-	noneSince time.Duration
+	// asked and refused are totals, rate the rate of attempts. windowAsked counts those of
+	// the present window, windowOutside the refused ones of callers that the class's window
+	// of callers leaves out, and windowCrowded those that found no free place.
+	asked, refused                            uint64
+	rate                                      float64
+	windowAsked, windowOutside, windowCrowded uint64
+	// fraction is the part of the callers that may come.
+	fraction float64
+}
+
+// moment is what was known at a tick: the requests that ran for this instance, and those of
+// all instances at each slot of the servers.
+type moment struct {
+	inFlight int
+	load     float64
 }
 
 // window counts the events of the present window.
@@ -147,6 +170,7 @@
 	// failed are answers that weren't good and openings without a further packet, and
 	// shed only the former.
 	failed, shed int
+	refused      uint64
 }
 
 func newService(name string) *service {
@@ -180,25 +204,79 @@
 	}
 }
 
-// admit counts a request of a class and reports whether it is admitted. The position of
-// its caller is only needed during a shortage.
+// setLoad records the load of the servers.
+func (s *service) setLoad(l Load) {
+	s.load, s.inFlight = l, l.Own
+	s.ownAverage += ownWeight * (float64(l.Own) - s.ownAverage)
+	if l.Instances != s.sharedBy {
+		// The requests of an instance that left come to the others, and the other way round.
+		s.sharedBy, s.shareSamples, s.usualShare = l.Instances, 0, 1/float64(max(l.Instances, 1))
+	}
+	s.shareSamples++
+	if l.Running > 0 {
+		s.usualShare += shareWeight * (min(s.ownAverage/l.Running, 1) - s.usualShare)
+	}
+}
+
+// admit counts a request of a class and reports whether it is admitted. The position of its
+// caller is only needed during a shortage.
 func (s *service) admit(index int, position func() float64) bool {
 	k := &s.classes[index]
 	k.asked++
 	k.windowAsked++
-	if !s.short || k.fraction >= 1 || k.fraction > 0 && position() < k.fraction {
-		return true
+	if s.scarce() {
+		places := s.placesOf(index)
+		switch {
+		case float64(s.inFlight) >= places:
+			k.windowCrowded++
+			k.refused++
+			return false
+		case float64(s.inFlight) >= choosyFrom*places && k.fraction < 1 && position() >= k.fraction:
+			k.windowOutside++
+			k.refused++
+			return false
+		}
+	}
+	s.inFlight++
+	return true
+}
+
+// scarce reports whether there may be no place for a request.
+func (s *service) scarce() bool { return s.short && s.known() >= idleLoad*s.load.Capacity }
+
+// past returns what was known that long ago.
+func (s *service) past(ago time.Duration) moment {
+	n := len(s.history)
+	return s.history[(s.ticks-min(int(ago/tickPeriod), n-1)+n)%n]
+}
+
+// opened records the time from an opening packet to the next packet of its flow.
+func (s *service) opened(took time.Duration) {
+	if s.roundTrip == 0 {
+		s.roundTrip = took
 	}
-	k.refused++
-	k.windowRefused++
-	return false
+	s.roundTrip += (took - s.roundTrip) / roundTripWeight
+}
+
+// placesOf returns how many requests may run for this instance when one of the class comes.
+func (s *service) placesOf(index int) float64 {
+	places := max(s.correction*s.fairPlaces(), 1)
+	if index < s.leastUrgent() {
+		return reserve * places
+	}
+	return places
 }
 
 // answered records an answer and its queueing delay. Short error responses count as
 // failures also if the caller of the package doesn't know them.
 func (s *service) answered(r *route, waited time.Duration, good bool) {
-	if good && (s.isIdle() || !r.idle.known()) {
+	s.inFlight = max(s.inFlight-1, 0)
+	switch {
+	case !good:
+	case s.isIdle():
 		r.idle.learn(waited)
+	case s.load.Running < queuedLoad*s.load.Capacity:
+		r.idle.estimate(waited, min(s.load.Running/s.load.Capacity, s.past(waited).load))
 	}
 	if !good || r.idle.known() && waited < time.Duration(shortAnswer*float64(r.idle.median)) {
 		s.window.failed++
@@ -223,27 +301,18 @@
 // isIdle reports whether the servers were idle at the last tick. This holds in a shortage
 // too: a baseline that was learnt from other answers than those of idle servers, as after a
 // start amid a crowd, would make it last.
-func (s *service) isIdle() bool { return s.running < idleLoad*s.capacity }
+func (s *service) isIdle() bool { return s.load.Running < idleLoad*s.load.Capacity }
 
 // goal returns the queueing delay to aim for.
 func (s *service) goal() time.Duration {
-	goal := max(time.Duration(goalPart*float64(s.limit)), time.Duration(goalWork*float64(s.work)))
-	if s.ceiling > 0 {
-		goal = min(goal, s.ceiling)
-	}
-	return goal
+	return max(time.Duration(goalPart*float64(s.target)/targetPart), time.Duration(goalWork*float64(s.work)))
 }
 
 // level returns the admitted fraction of the demand.
 func (s *service) level() float64 {
-	demand, admitted := 0.0, 0.0
-	for i := range s.classes {
-		k := &s.classes[i]
-		demand += k.demand
-		admitted += k.demand * k.fraction
-	}
+	demand := s.admittedRate + (s.askedRate-s.admittedRate)/attemptsOfRejected
 	if !s.short || demand == 0 {
 		return 1
 	}
-	return admitted / demand
+	return s.admittedRate / demand
 }
--- /dev/null
+++ b/pkg/connection/admission/shape_test.go
@@ -0,0 +1,55 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+)
+
+// targetsOfHeavyWork are the targets of work that takes 52 and 40 ms, so that an answer is late
+// behind three others, and heavyLimit is the number of requests a slot at which full knowledge
+// has the most answers on time then.
+var targetsOfHeavyWork = [2]time.Duration{250 * time.Millisecond, 200 * time.Millisecond}
+
+const heavyLimit = 1.7
+
+// shapes are crowds of a small and a large deployment.
+var shapes = map[string]load{
+	"Few/Twice":       {fleet: few, factor: 1.7},
+	"Few/ThreeTimes":  {fleet: few, factor: 3},
+	"Few/HalfLeave":   {fleet: few, factor: 1.5, leave: 7},
+	"Few/AllRestart":  {fleet: few, factor: 3, restart: 9},
+	"Few/SomeRestart": {fleet: few, factor: 3, restart: 6},
+	"Few/HalfAtOne":   {fleet: few, factor: 3, firstWeight: 0.4},
+	"Many/Twice":      {fleet: many, factor: 1.7},
+	"Many/ThreeTimes": {fleet: many, factor: 3},
+	"Many/HalfLeave":  {fleet: many, factor: 1.5, leave: 60},
+	"Many/AllRestart": {fleet: many, factor: 3, restart: 66},
+}
+
+// Guards against room that a small fleet leaves unused in a crowd, against instances that start
+// amid it and learn from overloaded servers how long answers of idle ones take, and against
+// callers that are refused once it is over. Instances got between a fifth and a third less out
+// of 14 servers than these could do, and refused callers for 12 s after a crowd.
+func TestCrowdsOfHeavyWork(t *testing.T) {
+	for name, l := range shapes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l.targets, l.urgent, l.knownLimit = targetsOfHeavyWork, 2./9, heavyLimit
+			played := func(d design) figures {
+				p := l.withDefaults(d)
+				p.usual = 0.38
+				return play(p)
+			}
+			f, best := played(product), played(known)
+			t.Log("product:", f)
+			t.Log("full knowledge:", best)
+			check(t, "Goodput", f.goodput() >= 0.95*best.goodput(), f)
+			check(t, "UrgentOnTime", float64(f.urgentOnTime) >= 0.99*float64(f.urgentAsked), f)
+			check(t, "Attempts", f.attempts() <= 1.1, f)
+			check(t, "NothingRefusedBefore", f.refusedBefore == 0, f)
+			if l.leave == 0 {
+				check(t, "NothingRefusedASecondAfter", f.refusedAfterSecond == 0, f)
+			}
+		})
+	}
+}
--- a/pkg/connection/forwarding/admit.go
+++ b/pkg/connection/forwarding/admit.go
@@ -45,37 +45,50 @@
 	}
 }
 
-// tickAdmission passes the capacity of the usable servers of each service to the
-// admission core. Loads of servers in other data centres are only known in part, so these
-// count only where the own data centre has none.
+// tickAdmission passes the capacity and the load of the usable servers of each service to the
+// admission core. Requests at servers that don't answer are no load of the others.
 func (c *Core) tickAdmission(now time.Duration) {
 	if c.admission == nil {
 		return
 	}
 	for name, servers := range c.servers.byService {
-		var own, all, ownRunning, allRunning float64
-		for _, v := range servers {
-			if !c.warm(now, v) || v.capacity() == 0 {
-				continue
-			}
-			running := c.running(v)
-			all += float64(v.capacity())
-			allRunning += running
-			if v.DataCentre == c.options.DataCentre {
-				own += float64(v.capacity())
-				ownRunning += running
-			}
+		c.admission.SetLoad(name, c.loadOf(now, servers))
+	}
+	c.admission.Tick(now)
+}
+
+// loadOf returns the load of a service's servers. Loads of servers in other data centres are
+// only known in part, so these count only where the own data centre lacks servers that it
+// usually has: flows leave it then, and there is room elsewhere for its part of all.
+func (c *Core) loadOf(now time.Duration, servers []*server) admission.Load {
+	var own, all, ownRunning, allRunning, usual float64
+	inFlight := 0
+	for _, v := range servers {
+		local := v.DataCentre == c.options.DataCentre
+		if local {
+			usual += float64(v.Slots)
 		}
-		switch {
-		case own > 0 && (c.peerCount == 0 || c.health.reporting > 0):
-			all, allRunning = own, ownRunning
-		default:
-			// What others cause there isn't known, so the servers don't count as idle.
-			allRunning = max(allRunning, all)
+		if !c.warm(now, v) || v.capacity() == 0 || c.suspected(now, v) {
+			continue
+		}
+		inFlight += v.observed.atServer()
+		running := c.running(v) - float64(v.observed.stale)
+		all += float64(v.capacity())
+		allRunning += running
+		if local {
+			own += float64(v.capacity())
+			ownRunning += running
 		}
-		c.admission.SetLoad(name, all, allRunning)
 	}
-	c.admission.Tick(now)
+	instances := c.peerCount + 1
+	if own == 0 || c.peerCount > 0 && c.health.reporting == 0 {
+		// What others cause isn't known, so the servers don't count as idle.
+		return admission.Load{Capacity: all, Running: max(allRunning, all), Own: inFlight, Instances: max(c.instances, instances)}
+	}
+	if part := min(all*float64(instances)/float64(max(c.instances, instances)), usual); part > own {
+		return admission.Load{Capacity: part, Running: allRunning, Own: inFlight, Instances: instances}
+	}
+	return admission.Load{Capacity: own, Running: ownRunning, Own: inFlight, Instances: instances}
 }
 
 // Shortages returns the begins and ends of shortages since the last call, oldest first.
--- a/pkg/connection/forwarding/affinity.go
+++ b/pkg/connection/forwarding/affinity.go
@@ -15,6 +15,8 @@
 // know its load by their own flows.
 func (c *Core) assignAffinity() {
 	position, instances := c.ringPosition()
+	c.instances = 0
+	c.directory.EachInstance(func(directory.Instance) { c.instances++ })
 	c.affinity = instances >= affinityFrom
 	for _, servers := range c.servers.byService {
 		for _, v := range servers {
--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -20,16 +20,19 @@
 	// defaultIdleTimeout is how long a flow without packets counts as open if
 	// operators set no idle timeout.
 	defaultIdleTimeout = 15 * time.Second
-	// sweepPeriod is the time between two searches for idle flows, and overtakenPeriod
-	// between two for overtaken requests.
-	sweepPeriod     = time.Second
-	overtakenPeriod = 250 * time.Millisecond
+	// sweepPeriod is the time between two searches for idle flows, and waitingPeriod
+	// between two for requests that can't be running any more.
+	sweepPeriod   = time.Second
+	waitingPeriod = 250 * time.Millisecond
 	// overtakenFor is how much later than a request another one has to be sent whose answer
-	// shows that the first isn't at the server any more. It is longer than the work of a
-	// request, and overtakenTimes of the server's average answer time at least, as work at
+	// shows that the first isn't at the server any more, and longestWait how long a request
+	// counts as running in any case. They are longer than the work of a request and the wait
+	// in a full queue, and so many times the server's average answer time at least, as work at
 	// slow servers takes longer.
 	overtakenFor   = 500 * time.Millisecond
 	overtakenTimes = 4
+	longestWait    = 600 * time.Millisecond
+	longestTimes   = 8
 )
 
 // flow is the record of what this instance has seen of a flow.
@@ -55,10 +58,13 @@
 	requests int
 	// waiting is true if a request was sent and no answer has come since.
 	waiting bool
-	// overtaken is true if the server has answered requests that were sent much later than
-	// the waiting one. Its answer was acknowledged at another instance, so that it no longer
-	// counts as running.
-	overtaken bool
+	// lost is true if the waiting request can't be at the server any more, as its answer was
+	// acknowledged at another instance. It no longer counts as running.
+	lost bool
+	// stale is true if the opening went unanswered, or the request for so long that it can't
+	// be at a server that answers. It keeps other flows away from the server as a running one
+	// does, in case the server doesn't answer, but is no load of it.
+	stale bool
 	// failureCounted is true if the present wait, for the opening or for an answer,
 	// already counts as a failure of the backend server.
 	failureCounted bool
@@ -94,11 +100,18 @@
 	case !f.stored:
 	case f.server != nil:
 		f.server.observed.openFlows += sign
-		if f.waiting && !f.overtaken {
-			f.server.observed.running += sign
+		if f.waiting && !f.lost {
+			f.countRunning(f.server, sign)
 		}
 	case f.lastTried() != nil:
-		f.lastTried().observed.running += sign
+		f.countRunning(f.lastTried(), sign)
+	}
+}
+
+func (f *flow) countRunning(v *server, sign int) {
+	v.observed.running += sign
+	if f.stale {
+		v.observed.stale += sign
 	}
 }
 
@@ -108,8 +121,8 @@
 	byKey     map[segment.Flow]*flow
 	free      []*flow
 	lastSweep time.Duration
-	// lastOvertaken is when sweepOvertaken last ran.
-	lastOvertaken time.Duration
+	// lastWaiting is when sweepWaiting last ran.
+	lastWaiting time.Duration
 	// openings are the latest opening packets, in the order of their times.
 	openings []openingPacket
 }
@@ -189,16 +202,32 @@
 	return nil
 }
 
-// checkOvertaken stops counting the flow's request as running if the server has overtaken
-// it: servers take requests in the order in which they arrive.
-func (f *flow) checkOvertaken() {
-	if !f.waiting || f.overtaken || f.server == nil {
+// checkWaiting stops counting the flow's request as running if it can't be at the server any
+// more: servers take requests in the order in which they arrive. Where servers may answer some
+// requests and leave others hanging, it goes on keeping other flows away.
+func (f *flow) checkWaiting(now time.Duration, mayHang bool) {
+	if !f.waiting || f.lost || f.server == nil {
 		return
 	}
 	o := &f.server.observed
-	if o.answeredSent-f.lastSent > max(overtakenFor, overtakenTimes*o.answerTime) {
-		f.overtaken = true
-		o.running--
+	overtaken := o.answeredSent-f.lastSent > max(overtakenFor, overtakenTimes*o.answerTime)
+	switch {
+	case !overtaken && now-f.lastSent <= max(longestWait, longestTimes*o.answerTime):
+	case mayHang:
+		f.markStale()
+	default:
+		f.countLoad(-1)
+		f.lost = true
+		f.countLoad(1)
+	}
+}
+
+// markStale records that the flow is no load of its server, although it waits.
+func (f *flow) markStale() {
+	if f.stored && !f.stale {
+		f.countLoad(-1)
+		f.stale = true
+		f.countLoad(1)
 	}
 }
 
@@ -207,20 +236,19 @@
 	if !f.waiting {
 		return
 	}
-	if !f.overtaken {
-		f.server.observed.running--
-	}
-	f.waiting, f.overtaken = false, false
+	f.countLoad(-1)
+	f.waiting, f.lost, f.stale = false, false, false
+	f.countLoad(1)
 }
 
-// sweepOvertaken stops counting requests that their servers have overtaken.
-func (t *flows) sweepOvertaken(now time.Duration) {
-	if now-t.lastOvertaken < overtakenPeriod {
+// sweepWaiting stops counting requests as running that can't be at their servers any more.
+func (t *flows) sweepWaiting(now time.Duration, mayHang bool) {
+	if now-t.lastWaiting < waitingPeriod {
 		return
 	}
-	t.lastOvertaken = now
+	t.lastWaiting = now
 	for _, f := range t.byKey {
-		f.checkOvertaken()
+		f.checkWaiting(now, mayHang)
 	}
 }
 
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -143,6 +143,8 @@
 	reports     map[string]report
 	peerCount   int
 	reportScale float64
+	// instances is the number of registered instances of all data centres.
+	instances int
 	// affinity says that this instance prefers some servers, see assignAffinity.
 	affinity bool
 	// sums is reused by averageOthers.
@@ -152,6 +154,8 @@
 	confirmed, outageEnded time.Duration
 	// eraChanged is when the era of the platform's store last changed, 0 for never.
 	eraChanged time.Duration
+	// firstOpened is when a flow was first seen to open since the start, 0 for never.
+	firstOpened time.Duration
 	// lastAnswer is when a caller last acknowledged new data.
 	lastAnswer time.Duration
 	// openingsChecked is when checkOpenings last ran.
@@ -347,9 +351,9 @@
 	c.servers.expire(now, maxFlow)
 	c.checkOpenings(now)
 	c.flows.sweep(now, c.directory.IdleTimeout())
-	c.flows.sweepOvertaken(now)
+	c.flows.sweepWaiting(now, c.health.on())
 	for _, v := range c.servers.sorted {
-		v.observed.average += averageWeight * (float64(v.observed.running) - v.observed.average)
+		v.observed.average += averageWeight * (float64(v.observed.atServer()) - v.observed.average)
 	}
 	c.combineReports(now)
 	c.updateHealth(now)
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -53,6 +53,8 @@
 	// requests that wait there.
 	openFlows int
 	running   int
+	// stale is the number of the running requests that are no load of the server.
+	stale int
 	// average is the average of running over the last half second, others the sum
 	// of the reports of other instances of the data centre.
 	average float64
@@ -108,6 +110,9 @@
 	o.lastAlive, o.failures, o.stuck, o.backoff = now, 0, 0, 0
 }
 
+// atServer returns the number of requests that run or wait at the server, as far as known.
+func (o *observations) atServer() int { return o.running - o.stale }
+
 // recordAnswerTime records the answer of a request that was sent at a time.
 func (o *observations) recordAnswerTime(sent, waited time.Duration) {
 	o.answeredSent = max(o.answeredSent, sent)
@@ -214,6 +219,12 @@
 	}
 	c.openingsChecked = now
 	for f := c.flows.nextUnopened(now - answerTime); f != nil; f = c.flows.nextUnopened(now - answerTime) {
+		f.markStale()
+		if c.firstOpened == 0 || f.lastSent < c.firstOpened-answerTime {
+			// The caller may have left while no instance was running, or its packets reach
+			// another one since. A copy of the opening counts.
+			continue
+		}
 		f.failureCounted = true
 		v := f.lastTried()
 		c.health.recordUnopened(now, v)
@@ -235,7 +246,7 @@
 	if now < v.coldUntil || c.doubtful(now, v) {
 		v.coldSent = now
 	}
-	f.lastSent, f.failureCounted = now, false
+	f.lastSent, f.failureCounted, f.stale = now, false, false
 	if f.stored && len(c.flows.openings) < maxFlows {
 		c.flows.openings = append(c.flows.openings, openingPacket{key: f.key, sent: now})
 	}
@@ -304,14 +315,20 @@
 func (c *Core) established(now time.Duration, s segment.Segment, f *flow, v *server) {
 	openedHere := f.lastTried() != nil && s.Sequence-f.opening <= maxFirstSequence
 	f.countLoad(-1)
-	f.server, f.waiting, f.overtaken, f.openSince = v, false, false, now
+	f.server, f.waiting, f.lost, f.stale, f.openSince = v, false, false, false, now
 	f.sentEnd, f.acknowledged = s.Sequence, s.Acknowledged
 	f.countLoad(1)
 	if !openedHere {
 		return
 	}
+	if c.firstOpened == 0 {
+		c.firstOpened = now
+	}
 	c.signOfLife(now, v)
 	c.recordRun(now, v, now)
+	if c.admission != nil && !f.failureCounted {
+		c.admission.Opened(v.Service, now-f.lastSent)
+	}
 }
 
 // acknowledge updates the flow for what the caller acknowledges, and reports
@@ -344,7 +361,7 @@
 	}
 	f.sentEnd = end
 	if !f.waiting {
-		f.waiting, f.failureCounted, f.lastSent = true, false, now
+		f.waiting, f.failureCounted, f.lost, f.stale, f.lastSent = true, false, false, false, now
 		f.server.observed.running++
 	}
 	return false
--- a/pkg/connection/forwarding/restart_test.go
+++ b/pkg/connection/forwarding/restart_test.go
@@ -411,6 +411,10 @@
 func TestAllDoubtedServersAreAnnounced(t *testing.T) {
 	const servers = 100
 	c := newCore(sized(servers, 1))
+	// An instance that has seen no flow open doubts no server.
+	p, _ := opened(t, c, time.Millisecond, routeOf(0))
+	c.Decide(2*time.Millisecond, p.request())
+	c.Decide(3*time.Millisecond, p.finish())
 	tried := make(map[mark.Mark]bool)
 	for range servers {
 		tried[c.Decide(time.Second, newCaller(routeOf(0)).open(0)).Mark] = true
@@ -426,3 +430,24 @@
 		t.Errorf("tried and announced: %s", d)
 	}
 }
+
+// Guards against an instance that restarts while callers wait, and takes all servers for ended
+// since the callers have left or reach another instance: it had one server of fourteen for a
+// crowd then (crowd-after-power).
+func TestInstanceThatHasSeenNoFlowOpenDoubtsNoServer(t *testing.T) {
+	c := newCore(neighbours(3, 1))
+	for range 20 {
+		c.Decide(time.Millisecond, newCaller(feedRoute).open(1))
+	}
+	for now := 100 * time.Millisecond; now < time.Second; now += 100 * time.Millisecond {
+		c.Tick(now, maxFlow)
+	}
+	if events := c.RestartEvents(); len(events) > 0 {
+		t.Errorf("events %+v", events)
+	}
+	p, _ := opened(t, c, time.Second, feedRoute)
+	c.Decide(time.Second+time.Millisecond, p.request())
+	if _, d := opened(t, c, time.Second+2*time.Millisecond, feedRoute); d.Reason != forwarding.Placed || d.Load.Penalty > 0 {
+		t.Errorf("a flow at a service of idle servers: %+v", d)
+	}
+}
