Admit urgent requests whatever runs while they alone fit

Once a crowd was over, the window of callers opened by a third in 0.1 s, so that some were refused a second later.

Change: a class is admitted whatever runs while it and the more urgent ones ask for less than 0.7 of the places. The window opens by 1.6 times.

--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -188,7 +188,8 @@
 		k := &s.classes[i]
 		asked += k.windowAsked
 		refused += k.windowOutside + k.windowCrowded
-		k.rate += rateWeight * (float64(k.windowAsked)/seconds - k.rate)
+		demand := float64(k.windowAsked) - (1-1/attemptsOfRejected)*float64(k.windowOutside+k.windowCrowded)
+		k.demand += rateWeight * (demand/seconds - k.demand)
 	}
 	s.window.refused = refused
 	average := func(rate *float64, count int) { *rate += rateWeight * (float64(count)/seconds - *rate) }
@@ -274,7 +275,7 @@
 func (s *service) leastUrgent() int {
 	last := 0
 	for i := range s.classes {
-		if s.classes[i].rate >= 1 {
+		if s.classes[i].demand >= 1 {
 			last = i
 		}
 	}
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -49,13 +49,16 @@
 	// reserve is how many times the running requests a more urgent class may take than the
 	// least urgent one.
 	reserve = 1.75
+	// fitsPart is the part of the places that a more urgent class and those before it may ask
+	// for to be admitted whatever runs, as their number varies.
+	fitsPart = 0.7
 	// choosyFrom is the part of the places that are taken from which on only callers come
 	// that the window admits: while more are free, nobody is refused.
 	choosyFrom = 0.75
 	// crowdedPart is the part of the window's callers that find no free place. Without any,
 	// places would stay free as the callers' number varies. leastNarrowing and widening
 	// bound the change of the window in 0.1 s, and leastFraction the window.
-	crowdedPart, leastNarrowing, widening = 0.2, 0.5, 1.3
+	crowdedPart, leastNarrowing, widening = 0.2, 0.5, 1.6
 	leastFraction                         = 0.02
 	// minSamples is the number of answers or failures that can begin a shortage.
 	minSamples = 8
@@ -73,7 +76,7 @@
 	// calmAfter is how long everything has to be admitted until a shortage ends.
 	calmAfter = 500 * time.Millisecond
 	// attemptsOfRejected is how many attempts a rejected request makes at most.
-	attemptsOfRejected = 3
+	attemptsOfRejected = 3.0
 	// roundTripWeight is the number of openings over which the round trip is averaged.
 	roundTripWeight = 16
 	// queuedLoad is the load, in requests a slot, from which on servers may shed.
@@ -146,11 +149,12 @@
 // class is the requests of one priority.
 type class struct {
 	priority int
-	// asked and refused are totals, rate the rate of attempts. windowAsked counts those of
+	// asked and refused are totals, and demand the rate of requests, each counted once
+	// whatever its attempts. windowAsked counts those of
 	// the present window, windowOutside the refused ones of callers that the class's window
 	// of callers leaves out, and windowCrowded those that found no free place.
 	asked, refused                            uint64
-	rate                                      float64
+	demand                                    float64
 	windowAsked, windowOutside, windowCrowded uint64
 	// fraction is the part of the callers that may come.
 	fraction float64
@@ -224,7 +228,7 @@
 	k := &s.classes[index]
 	k.asked++
 	k.windowAsked++
-	if s.scarce() {
+	if s.scarce() && !s.alwaysFits(index) {
 		places := s.placesOf(index)
 		switch {
 		case float64(s.inFlight) >= places:
@@ -241,6 +245,19 @@
 	return true
 }
 
+// alwaysFits reports whether there is a place for each request of a class and of all more urgent
+// ones, so that what fills the places is less urgent, such as later requests of open flows.
+func (s *service) alwaysFits(index int) bool {
+	if index >= s.leastUrgent() {
+		return false
+	}
+	demand := 0.0
+	for i := range s.classes[:index+1] {
+		demand += s.classes[i].demand
+	}
+	return demand*(s.roundTrip+s.work+s.goal()).Seconds() < fitsPart*s.places()
+}
+
 // scarce reports whether there may be no place for a request.
 func (s *service) scarce() bool { return s.short && s.known() >= idleLoad*s.load.Capacity }
 
@@ -258,13 +275,15 @@
 	s.roundTrip += (took - s.roundTrip) / roundTripWeight
 }
 
+// places returns how many requests may run for this instance.
+func (s *service) places() float64 { return max(s.correction*s.fairPlaces(), 1) }
+
 // placesOf returns how many requests may run for this instance when one of the class comes.
 func (s *service) placesOf(index int) float64 {
-	places := max(s.correction*s.fairPlaces(), 1)
 	if index < s.leastUrgent() {
-		return reserve * places
+		return reserve * s.places()
 	}
-	return places
+	return s.places()
 }
 
 // answered records an answer and its queueing delay. Short error responses count as
