Name the mechanisms that decide under load, so that each can be switched off

Cause: nobody could say what a mechanism is worth, as turning one off took an edit.

What keeps cold bounds, runs a request at most once and keeps flows has no name. A set is a bit mask, so that a decision reads a word more.

Not done: a metric, a benchmark of the decision of a whole opening before and after.

--- a/pkg/connection/admission/admission.go
+++ b/pkg/connection/admission/admission.go
@@ -33,6 +33,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 )
 
 // DefaultLongestStarvation is LongestStarvation where none is set.
@@ -49,6 +51,8 @@
 	// Epoch is the wall-clock time at which the monotonic clock read 0, since the Unix
 	// epoch. Instances whose clocks agree admit the same callers.
 	Epoch time.Duration
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 }
 
 // Route is what admission knows about one route and one of its services.
@@ -119,7 +123,7 @@
 		}
 		s, ok := before[name]
 		if !ok {
-			s = newService(name)
+			s = newService(name, c.options.Off)
 		}
 		s.configure(target, byService[name])
 		c.services[name], c.byHash[s.hash] = s, s
--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 )
 
 // median returns the median of the queueing delays of the present window and, if these
@@ -91,7 +93,7 @@
 	others := float64(max(s.load.Instances-1, 0))
 	even := 1 / (others + 1)
 	switch {
-	case s.shareSamples < steadySamples:
+	case s.shareSamples < steadySamples || s.off.Has(mechanism.DemandShares):
 		return even
 	case s.peers.asked > leastPeerAnswers:
 		return max(s.peers.ownAsked/(s.peers.ownAsked+others*s.peers.asked), leastShare*even)
@@ -109,7 +111,7 @@
 // crowded reports whether clearly more requests run for this instance than its usual share
 // of those that the servers can take, which shows a crowd before any answer does.
 func (s *service) crowded() bool {
-	if s.load.Capacity == 0 || float64(s.inFlight) < max(crowdFactor*s.fairPlaces(), minSamples) {
+	if s.off.Has(mechanism.CrowdOnset) || s.load.Capacity == 0 || float64(s.inFlight) < max(crowdFactor*s.fairPlaces(), minSamples) {
 		return false
 	}
 	least := unknownCrowdLoad
@@ -229,7 +231,7 @@
 	// Idle servers without a delay shed nothing: their short answers are good ones.
 	idle := s.isIdle() && s.wait < time.Duration(queuedPart*float64(s.work))
 	s.shedding = s.window.failed >= minSamples/2 && s.failed > shedPart && !idle
-	if s.work > 0 {
+	if s.work > 0 && !s.off.Has(mechanism.DelayCorrection) {
 		s.correct()
 	}
 	for i := range s.classes {
--- a/pkg/connection/admission/play_test.go
+++ b/pkg/connection/admission/play_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 )
 
@@ -69,7 +70,9 @@
 type load struct {
 	fleet
 	design design
-	seed   uint64
+	// off are the mechanisms that are switched off.
+	off  mechanism.Set
+	seed uint64
 	// factor is the load in capacities from crowdFrom to crowdTo, and usual that of the
 	// rest.
 	factor, usual float64
@@ -217,7 +220,7 @@
 }
 
 func (p *player) newCore() *admission.Core {
-	core := admission.New(admission.Options{})
+	core := admission.New(admission.Options{Off: p.off})
 	core.Configure([]admission.Route{
 		{Service: service, Endpoint: routes[0], Target: p.targets[0]},
 		{Service: service, Endpoint: routes[1], Target: p.targets[1], Priority: 1},
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 )
 
 const (
@@ -89,6 +91,8 @@
 
 // service is the state of one service.
 type service struct {
+	// off are the mechanisms that are switched off.
+	off    mechanism.Set
 	name   string
 	hash   uint32
 	target time.Duration
@@ -177,8 +181,8 @@
 	refused      uint64
 }
 
-func newService(name string) *service {
-	return &service{name: name, hash: hashOf(name), routes: make(map[netip.AddrPort]*route)}
+func newService(name string, off mechanism.Set) *service {
+	return &service{off: off, name: name, hash: hashOf(name), routes: make(map[netip.AddrPort]*route)}
 }
 
 // configure replaces the routes and the classes, whose counts stay.
@@ -235,7 +239,7 @@
 			k.windowCrowded++
 			k.refused++
 			return false
-		case float64(s.inFlight) >= choosyFrom*places && k.fraction < 1 && position() >= k.fraction:
+		case !s.off.Has(mechanism.CallerWindow) && float64(s.inFlight) >= choosyFrom*places && k.fraction < 1 && position() >= k.fraction:
 			k.windowOutside++
 			k.refused++
 			return false
@@ -248,7 +252,7 @@
 // alwaysFits reports whether there is a place for each request of a class and of all more urgent
 // ones, so that what fills the places is less urgent, such as later requests of open flows.
 func (s *service) alwaysFits(index int) bool {
-	if index >= s.leastUrgent() {
+	if index >= s.leastUrgent() || s.off.Has(mechanism.ClassOrder) {
 		return false
 	}
 	demand := 0.0
@@ -280,7 +284,7 @@
 
 // placesOf returns how many requests may run for this instance when one of the class comes.
 func (s *service) placesOf(index int) float64 {
-	if index < s.leastUrgent() {
+	if index < s.leastUrgent() && !s.off.Has(mechanism.ClassOrder) {
 		return reserve * s.places()
 	}
 	return s.places()
@@ -294,7 +298,7 @@
 	case !good:
 	case s.isIdle():
 		r.idle.learn(waited)
-	case s.load.Running < queuedLoad*s.load.Capacity:
+	case s.load.Running < queuedLoad*s.load.Capacity && !s.off.Has(mechanism.IdleEstimates):
 		r.idle.estimate(waited, min(s.load.Running/s.load.Capacity, s.past(waited).load))
 	}
 	if !good || r.idle.known() && waited < time.Duration(shortAnswer*float64(r.idle.median)) {
--- a/pkg/connection/admission/shape_test.go
+++ b/pkg/connection/admission/shape_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 )
 
 // targetsOfHeavyWork are the targets of work that takes 52 and 40 ms, so that an answer is late
@@ -53,3 +57,20 @@
 		})
 	}
 }
+
+// Guards against a switch that nothing reads.
+func TestMechanismsCanBeSwitchedOff(t *testing.T) {
+	played := func(off mechanism.Set) figures {
+		l := shapes["Few/SomeRestart"]
+		l.targets, l.urgent, l.off = targetsOfHeavyWork, 2./9, off
+		return play(l.withDefaults(product))
+	}
+	all := played(0)
+	for _, m := range []mechanism.Mechanism{
+		mechanism.CrowdOnset, mechanism.ClassOrder, mechanism.CallerWindow, mechanism.DemandShares, mechanism.DelayCorrection, mechanism.IdleEstimates,
+	} {
+		if cmp.Equal(all, played(mechanism.Set(0).With(m)), cmp.AllowUnexported(figures{})) {
+			t.Errorf("%v: switched off, nothing changes", m)
+		}
+	}
+}
--- a/pkg/connection/capacity/capacity.go
+++ b/pkg/connection/capacity/capacity.go
@@ -24,6 +24,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 )
 
 // Defaults of Options, as the settings document them.
@@ -41,6 +43,8 @@
 	// ShortestEjection is how long the first ejection of a server lasts. Each further
 	// one lasts twice as long, up to LongestEjection.
 	ShortestEjection, LongestEjection time.Duration
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 }
 
 func (o Options) withDefaults() Options {
--- a/pkg/connection/capacity/eject.go
+++ b/pkg/connection/capacity/eject.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 )
 
 const (
@@ -96,13 +98,18 @@
 		c.ranking = append(c.ranking, ranked{Usable: v, evidence: v.combined(now)})
 	}
 	c.compareFailures()
-	c.compareTimes(now, service)
+	if !c.options.Off.Has(mechanism.SlowLimits) {
+		c.compareTimes(now, service)
+	}
 	allowed := int(c.options.GreatestEjectedPart * float64(slots))
 	c.eject(now, service, allowed-ejected, f)
 	degraded := false
 	for _, v := range c.ranking {
 		v.proven = v.risk <= provenRisk && v.evidence.Answered-v.evidence.Failed >= leastWeight
 		degraded = degraded || v.risk > 0 || v.state != Healthy
+		if c.options.Off.Has(mechanism.FailureRisk) {
+			v.risk = 0
+		}
 	}
 	c.group(service).degraded = degraded
 }
--- a/pkg/connection/forwarding/admit.go
+++ b/pkg/connection/forwarding/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -85,7 +86,7 @@
 		// What others cause isn't known, so the servers don't count as idle.
 		return admission.Load{Capacity: all, Running: max(allRunning, all), Own: inFlight, Instances: max(c.instances, instances)}
 	}
-	if part := min(all*float64(instances)/float64(max(c.instances, instances)), usual); part > own {
+	if part := min(all*float64(instances)/float64(max(c.instances, instances)), usual); part > own && !c.options.Off.Has(mechanism.RoomElsewhere) {
 		return admission.Load{Capacity: part, Running: allRunning, Own: inFlight, Instances: instances}
 	}
 	return admission.Load{Capacity: own, Running: ownRunning, Own: inFlight, Instances: instances}
--- a/pkg/connection/forwarding/affinity.go
+++ b/pkg/connection/forwarding/affinity.go
@@ -1,6 +1,9 @@
 package forwarding
 
-import "github.com/tanagerweir/tanagerweir/pkg/version/directory"
+import (
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
+	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
+)
 
 // affinityFrom is the number of instances in a data centre from which on each prefers
 // servers of its own. A report of 48 servers takes all that an instance may send in 0.25 s,
@@ -22,7 +25,7 @@
 		for _, v := range servers {
 			v.distance = 0
 		}
-		if !c.affinity {
+		if !c.affinity || c.options.Off.Has(mechanism.ServerRing) {
 			continue
 		}
 		inCentre := make(map[string]int)
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -25,6 +25,7 @@
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -128,6 +129,8 @@
 	Health HealthOptions
 	// Admission are the settings of the admission of new flows; nil admits all.
 	Admission *admission.Options
+	// Off are the mechanisms that are switched off, of this package and of those that it uses.
+	Off mechanism.Set
 }
 
 // Core decides about the packets that one instance receives.
@@ -187,10 +190,12 @@
 	c := &Core{
 		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
 		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration), sums: make(map[string]loadSum),
-		health: newHealth(o.Health),
+		health: newHealth(o.Health, o.Off),
 	}
 	if o.Admission != nil {
-		c.admission = admission.New(*o.Admission)
+		a := *o.Admission
+		a.Off = o.Off
+		c.admission = admission.New(a)
 	}
 	return c
 }
--- a/pkg/connection/forwarding/health.go
+++ b/pkg/connection/forwarding/health.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -93,13 +94,13 @@
 	reported int
 }
 
-func newHealth(o HealthOptions) health {
+func newHealth(o HealthOptions, off mechanism.Set) health {
 	if !o.Active() {
 		return health{}
 	}
 	return health{
 		core: capacity.New(capacity.Options{
-			GreatestEjectedPart: o.GreatestEjectedPart, ShortestEjection: o.ShortestEjection, LongestEjection: o.LongestEjection,
+			GreatestEjectedPart: o.GreatestEjectedPart, ShortestEjection: o.ShortestEjection, LongestEjection: o.LongestEjection, Off: off,
 		}),
 		repeatableAt: make(map[string]time.Duration),
 	}
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -119,7 +120,7 @@
 // running returns the estimated number of requests that run or wait at the server.
 func (c *Core) running(v *server) float64 {
 	others := v.observed.others.running
-	if c.affinity {
+	if c.affinity && !c.options.Off.Has(mechanism.MeanLoads) {
 		others = v.meanOthers
 	}
 	return float64(v.observed.running) + c.reportScale*others
@@ -134,7 +135,7 @@
 		Local:    v.DataCentre == c.options.DataCentre,
 		Penalty:  v.observed.penalty(now),
 		Distance: v.distance,
-		Averaged: c.affinity,
+		Averaged: c.affinity && !c.options.Off.Has(mechanism.EarlySpill),
 	}
 }
 
--- a/pkg/connection/forwarding/reach.go
+++ b/pkg/connection/forwarding/reach.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
@@ -237,7 +238,7 @@
 
 // Served reports whether callers are served here, as of the last Tick. If not, routers
 // should lead them to another data centre.
-func (c *Core) Served() bool { return !c.unserved }
+func (c *Core) Served() bool { return !c.unserved || c.options.Off.Has(mechanism.CallerLeading) }
 
 // askFor records that a caller asks for one of the route's services.
 func (c *Core) askFor(now time.Duration, r directory.Route) {
--- a/pkg/emulation/emulation.go
+++ b/pkg/emulation/emulation.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"io"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
 )
 
@@ -30,6 +31,8 @@
 	Platform Platform
 	// WithoutAdmission lets instances admit all new flows.
 	WithoutAdmission bool
+	// Off are mechanisms that are switched off at all instances.
+	Off mechanism.Set
 	// Log receives the logs of all instances as JSON lines; nil discards them.
 	Log io.Writer
 }
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -25,6 +25,7 @@
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -122,6 +123,8 @@
 	Seed uint64
 	// Admission are the settings of the admission of new flows; nil admits all.
 	Admission *admission.Options
+	// Off is passed to forwarding.Options.
+	Off mechanism.Set
 	// Policy ranks backend servers for new flows; nil selects the default policy.
 	Policy placement.Policy
 }
--- a/pkg/process/policy/policy.go
+++ b/pkg/process/policy/policy.go
@@ -22,6 +22,7 @@
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 )
 
@@ -36,6 +37,8 @@
 	GreatestEjectedPart float64
 	ShortestEjection    time.Duration
 	LongestEjection     time.Duration
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 }
 
 // Key describes one key of the file.
@@ -67,9 +70,18 @@
 		},
 		durationKey("ShortestEjection", "2s", "how long a server's first ejection lasts; each further one lasts twice as long", leastEjection, mostEjection, func(p *Policy) *time.Duration { return &p.ShortestEjection }),
 		durationKey("LongestEjection", "16s", "how long an ejection lasts at most, not below ShortestEjection", leastEjection, mostEjection, func(p *Policy) *time.Duration { return &p.LongestEjection }),
+		{
+			Name: "Off", Default: "", Allowed: "names of mechanisms, separated by commas: " + mechanism.Names(),
+			Meaning: "mechanisms that are switched off, to find out what they are worth; promises hang on none of them", set: setOff,
+		},
 	}
 }
 
+func setOff(p *Policy, value string) (err error) {
+	p.Off, err = mechanism.Parse(value)
+	return err
+}
+
 func switchKey(name, meaning string, field func(*Policy) *bool) Key {
 	return Key{Name: name, Default: "On", Allowed: "On or Off", Meaning: meaning, set: func(p *Policy, value string) error {
 		if value != "On" && value != "Off" {
--- a/pkg/process/policy/policy_test.go
+++ b/pkg/process/policy/policy_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/process/policy"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 )
@@ -55,3 +56,15 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a mechanism that stays on although the file switches it off, and against the
+// switch of a promise.
+func TestMechanismsAreSwitchedOffByName(t *testing.T) {
+	p, err := policy.Parse([]byte("[Policy]\nOff = ServerRing, CallerWindow\n"))
+	if diff := cmp.Diff(mechanism.Set(0).With(mechanism.ServerRing).With(mechanism.CallerWindow), p.Off); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+	if _, err := policy.Parse([]byte("[Policy]\nOff = ColdBound\n")); err == nil {
+		t.Error("the cold bound can be switched off")
+	}
+}
