Give a backlog after an outage more room before it counts as a crowd

Cause: in the first second after instances have come or left, as after an outage, callers that waited open flows together.

Change: in that second it takes 2.5 times the fair places in place of twice.

--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -111,7 +111,14 @@
 // crowded reports whether clearly more requests run for this instance than its usual share
 // of those that the servers can take, which shows a crowd before any answer does.
 func (s *service) crowded() bool {
-	if s.off.Has(mechanism.CrowdOnset) || s.load.Capacity == 0 || float64(s.inFlight) < max(crowdFactor*s.fairPlaces(), minSamples) {
+	if s.off.Has(mechanism.CrowdOnset) || s.load.Capacity == 0 {
+		return false
+	}
+	factor := float64(crowdFactor)
+	if s.shareSamples < steadySamples {
+		factor = backlogFactor
+	}
+	if float64(s.inFlight) < max(factor*s.fairPlaces(), minSamples) {
 		return false
 	}
 	least := unknownCrowdLoad
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -41,9 +41,10 @@
 	// report may be wrong.
 	steadySamples = 10
 	leastShare    = 0.5
-	// backlogCorrection is the correction at first where instances have just come or left: a
-	// backlog of callers passes, and most of it can still be served in time.
-	backlogCorrection = 1.5
+	// backlogFactor replaces crowdFactor, and backlogCorrection is the correction at first,
+	// where instances have just come or left, as after an outage: a backlog of callers passes,
+	// and most of it can still be served in time.
+	backlogFactor, backlogCorrection = 2.5, 1.5
 	// tickPeriod is the time between two calls of Tick.
 	tickPeriod = 100 * time.Millisecond
 	// sheddingRatio bounds the change that is asked for while servers shed.
