Leave cold servers to the placing in a shortage, and name places by slot

Cause: with no warm server the room is 0, and a shortage would have refused all but one request for an instance, although cold servers take some. Read in the code; a test plays it.

Change: without any warm server nothing is refused by admission.

--- a/pkg/connection/admission/admission.go
+++ b/pkg/connection/admission/admission.go
@@ -6,11 +6,12 @@
 // at once when they are rejected. The servers' queues are then full: nearly all answers
 // are late, and urgent requests are shed like the others.
 //
-// The controlled variable is the queueing delay, by which answers take longer than at
-// idle servers. While it is too long, a service is short: requests are admitted at about
-// the rate at which its servers answer, the most urgent classes first. Of the class that
-// fits only in part, those callers are admitted whose hash lies in a window that moves
-// through the hash's range, so that a rejected caller's retries are rejected too.
+// A service is short while clearly more requests run for an instance than its share of what
+// the servers take, or while the queueing delay, by which answers take longer than at idle
+// servers, is too long. As many requests may run for the instance then as keep that delay at
+// its aim, those of the most urgent classes first. Of the class that fits only in part,
+// those callers are admitted whose hash lies in a window that moves through the hash's range,
+// so that a rejected caller's retries are rejected too.
 //
 // # Usage
 //
--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -71,15 +71,15 @@
 
 // fairPlaces returns this instance's share of the requests that keep the delay at its aim, if
 // servers carry as many at once as is known.
-func (s *service) fairPlaces() float64 { return s.slots() * s.aSlot() }
+func (s *service) fairPlaces() float64 { return s.slotShare() * s.placesPerSlot() }
 
-// slots returns this instance's share of the servers' slots.
-func (s *service) slots() float64 { return s.load.Capacity * s.demandShare() }
+// slotShare returns this instance's share of the servers' slots.
+func (s *service) slotShare() float64 { return s.load.Capacity * s.demandShare() }
 
-// aSlot returns how many requests may run for each slot at the delay that is aimed for. A
+// placesPerSlot returns how many requests may run for each slot at the delay that is aimed for. A
 // request runs from its opening packet on, and its answer takes a round trip longer than the
 // server.
-func (s *service) aSlot() float64 {
+func (s *service) placesPerSlot() float64 {
 	if s.work == 0 {
 		return 1 + goalWork
 	}
@@ -134,7 +134,7 @@
 	return s.load.Running + max(float64(s.inFlight-s.load.Own), 0)
 }
 
-// tick ends the window, and adapts the admitted rate while the service is short.
+// tick ends the window, and adapts the places while the service is short.
 func (s *service) tick(now time.Duration) (Event, bool) {
 	seconds := (now - s.window.started).Seconds()
 	if seconds < minWindow {
@@ -264,7 +264,7 @@
 	}
 	s.correction += correctionWeight * (target - s.correction)
 	// With a request at each slot a delay isn't one of queues, as where all servers are slow.
-	s.correction = min(max(s.correction, 1/s.aSlot()), greatestCorrection)
+	s.correction = min(max(s.correction, 1/s.placesPerSlot()), greatestCorrection)
 }
 
 // adapt moves the part of the class's callers that may come: some more of them than there
--- a/pkg/connection/admission/recovery_test.go
+++ b/pkg/connection/admission/recovery_test.go
@@ -130,3 +130,20 @@
 		t.Errorf("events %+v", e)
 	}
 }
+
+// Guards against callers that are refused while all servers are cold, to which the placing leads
+// as many as they take.
+func TestWithoutWarmServersNothingIsRefused(t *testing.T) {
+	s := newSteady()
+	s.crowd(t)
+	s.refused = 0
+	s.core.SetLoad("board", admission.Load{Instances: 1})
+	for n := range 50 {
+		if !s.core.Admit(s.now, "board", boardRoute, netip.AddrFrom4([4]byte{100, 64, 1, byte(n)})) {
+			s.refused++
+		}
+	}
+	if s.refused > 0 {
+		t.Errorf("%d of 50 requests refused", s.refused)
+	}
+}
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -26,11 +26,12 @@
 	// correctionWeight is the weight of the latest window in the correction of the places by
 	// the delay, and greatestCorrection bounds it.
 	correctionWeight, greatestCorrection = 0.2, 8
-	// shareWeight is the weight of the latest window in the usual share of an instance in the
-	// running requests, which gives a time constant of some seconds.
-	shareWeight  = 0.03
-	usualSamples = 20
-	ownWeight    = 0.2
+	// shareWeight is the weight of the latest tick in the usual share of an instance in the
+	// running requests, which gives a time constant of some seconds, and usualSamples the
+	// number of ticks from which on it is known. ownWeight is that in the average of the own
+	// requests, the same as in the reports of others.
+	shareWeight, ownWeight = 0.03, 0.2
+	usualSamples           = 20
 	// crowdFactor times its fair places is how many requests have to run for an instance to
 	// begin a shortage before any answer shows it, with crowdLoad requests a slot known to be
 	// at the servers: with less, other instances may have none. Until the usual share is known
@@ -111,14 +112,13 @@
 	// roundTrip is the average time from an opening packet to the next packet of its flow.
 	roundTrip time.Duration
 	load      Load
-	// usualShare is the share of this instance in the running requests, over some seconds
-	// since the number of instances, sharedBy, last changed.
-	usualShare float64
-	sharedBy   int
+	// usualShare is the share of this instance in the running requests over some seconds, of
+	// the shareSamples ticks since the number of instances, sharedBy, last changed.
+	usualShare             float64
+	sharedBy, shareSamples int
 	// ownAverage is the average of the own requests that run, over half a second as in the
 	// reports of others.
-	ownAverage   float64
-	shareSamples int
+	ownAverage float64
 	// wait is the queueing delay that the last samples answers here showed, combined
 	// the one together with the reports of others.
 	wait, combined time.Duration
@@ -263,8 +263,11 @@
 	return demand*(s.roundTrip+s.work+s.goal()).Seconds() < fitsPart*s.places()
 }
 
-// scarce reports whether there may be no place for a request.
-func (s *service) scarce() bool { return s.short && s.known() >= idleLoad*s.load.Capacity }
+// scarce reports whether there may be no place for a request. Without any warm server, the
+// placing decides what cold ones take.
+func (s *service) scarce() bool {
+	return s.short && s.load.Capacity > 0 && s.known() >= idleLoad*s.load.Capacity
+}
 
 // past returns what was known that long ago.
 func (s *service) past(ago time.Duration) moment {
