Give three decisions under load several ways, chosen by name

Change: package mechanism names decisions and their ways: ClassRoom (Reserve, Demand, DemandApart), ServiceRoom (Delay, Gradient, Additive), Placing (LeastLoad, TwoChoices, LeastWait). The standard ways are those of before. Ruled out: a mechanism each that is switched off, as two ways of a decision exclude each other.

--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -94,7 +94,10 @@
 // service is the state of one service.
 type service struct {
 	// off are the mechanisms that are switched off.
-	off    mechanism.Set
+	off mechanism.Set
+	// order and room are the ways to decide which classes may run, and how many requests.
+	order  classOrder
+	room   roomControl
 	name   string
 	hash   uint32
 	target time.Duration
@@ -182,8 +185,8 @@
 	refused      uint64
 }
 
-func newService(name string, off mechanism.Set) *service {
-	return &service{off: off, name: name, hash: hashOf(name), routes: make(map[netip.AddrPort]*route)}
+func newService(name string, o Options) *service {
+	return &service{off: o.Off, order: orderOf(o.Ways), room: roomOf(o.Ways), name: name, hash: hashOf(name), routes: make(map[netip.AddrPort]*route)}
 }
 
 // configure replaces the routes and the classes, whose counts stay.
@@ -233,7 +236,7 @@
 	k := &s.classes[index]
 	k.asked++
 	k.windowAsked++
-	if s.scarce() && !s.alwaysFits(index) {
+	if s.scarce() && !s.exempt(index, position) {
 		places := s.placesOf(index)
 		switch {
 		case float64(s.inFlight) >= places:
@@ -250,17 +253,15 @@
 	return true
 }
 
-// alwaysFits reports whether there is a place for each request of a class and of all more urgent
-// ones, so that what fills the places is less urgent, such as later requests of open flows.
-func (s *service) alwaysFits(index int) bool {
+// exempt reports whether a request is admitted whatever runs: its class is more urgent than
+// others, and there is room for it, so that what fills the places is less urgent, such as later
+// requests of open flows.
+func (s *service) exempt(index int, position func() float64) bool {
 	if index >= s.leastUrgent() || s.off.Has(mechanism.ClassOrder) {
 		return false
 	}
-	demand := 0.0
-	for i := range s.classes[:index+1] {
-		demand += s.classes[i].demand
-	}
-	return demand*(s.roundTrip+s.work+s.goal()).Seconds() < fitsPart*s.places()
+	part := s.order.part(s, index)
+	return part >= 1 || part > 0 && position() < part
 }
 
 // scarce reports whether there may be no place for a request. Without any warm server, the
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -125,6 +125,8 @@
 	Admission *admission.Options
 	// Off is passed to forwarding.Options.
 	Off mechanism.Set
+	// Ways is passed to forwarding.Options.
+	Ways mechanism.Ways
 	// Policy ranks backend servers for new flows; nil selects the default policy.
 	Policy placement.Policy
 }
