Admit urgent classes by their demand, and remove the ways by reserve and by servers set apart

Cause: urgent requests were admitted whatever runs only while they asked for less than 0.7 of the places, and else up to 1.75 times the places. Later requests of open flows count as running, can't be rejected, lengthen the delay and so shrink the places: urgent requests that fit the slots were rejected. A slack of 1.25, 1.2 or 1.5 times the slots: more refused a second after a crowd. Change: a class is admitted whatever runs by the part of its demand that the slots have room for.

--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -53,9 +53,6 @@
 	// reserve is how many times the running requests a more urgent class may take than the
 	// least urgent one.
 	reserve = 1.75
-	// fitsPart is the part of the places that a more urgent class and those before it may ask
-	// for to be admitted whatever runs, as their number varies.
-	fitsPart = 0.7
 	// choosyFrom is the part of the places that are taken from which on only callers come
 	// that the window admits: while more are free, nobody is refused.
 	choosyFrom = 0.75
@@ -95,8 +92,7 @@
 type service struct {
 	// off are the mechanisms that are switched off.
 	off mechanism.Set
-	// order and room are the ways to decide which classes may run, and how many requests.
-	order  classOrder
+	// room is the way to decide how many requests may run.
 	room   roomControl
 	name   string
 	hash   uint32
@@ -186,7 +182,7 @@
 }
 
 func newService(name string, o Options) *service {
-	return &service{off: o.Off, order: orderOf(o.Ways), room: roomOf(o.Ways), name: name, hash: hashOf(name), routes: make(map[netip.AddrPort]*route)}
+	return &service{off: o.Off, room: roomOf(o.Ways), name: name, hash: hashOf(name), routes: make(map[netip.AddrPort]*route)}
 }
 
 // configure replaces the routes and the classes, whose counts stay.
@@ -254,16 +250,56 @@
 }
 
 // exempt reports whether a request is admitted whatever runs: its class is more urgent than
-// others, and there is room for it, so that what fills the places is less urgent, such as later
-// requests of open flows.
+// others, and the slots have room for it, or for the part of its callers to which this one
+// belongs. What fills the places then is less urgent, such as later requests of open flows, which
+// nothing rejects.
 func (s *service) exempt(index int, position func() float64) bool {
 	if index >= s.leastUrgent() || s.off.Has(mechanism.ClassOrder) {
 		return false
 	}
-	part := s.order.part(s, index)
+	part := s.fittingPart(index)
 	return part >= 1 || part > 0 && position() < part
 }
 
+// fittingPart returns the part of a class's demand for which there are slots beside the demand of
+// all more urgent classes. It compares with the slots rather than with the places, which shrink
+// while open flows keep the servers' queues full.
+func (s *service) fittingPart(index int) float64 {
+	room := s.slotShare()
+	for i := range s.classes[:index] {
+		room -= s.slotsOf(i)
+	}
+	need := s.slotsOf(index)
+	switch {
+	case need <= 0 || need <= room:
+		return 1
+	case room <= 0:
+		return 0
+	}
+	return room / need
+}
+
+// slotsOf returns how many slots the demand of a class keeps busy, without waits.
+func (s *service) slotsOf(index int) float64 {
+	return s.classes[index].demand * max(s.workOf(index)-s.roundTrip, 0).Seconds()
+}
+
+// workOf returns the time in which idle servers answer requests of a class.
+func (s *service) workOf(index int) time.Duration {
+	var total time.Duration
+	n := 0
+	for _, r := range s.routes {
+		if r.class == index && r.idle.known() {
+			total += r.idle.median
+			n++
+		}
+	}
+	if n == 0 {
+		return s.work
+	}
+	return total / time.Duration(n)
+}
+
 // scarce reports whether there may be no place for a request. Without any warm server, the
 // placing decides what cold ones take.
 func (s *service) scarce() bool {
--- a/pkg/connection/admission/shape_test.go
+++ b/pkg/connection/admission/shape_test.go
@@ -92,7 +92,6 @@
 			f := play(p)
 			t.Log("product:", f)
 			for _, w := range []mechanism.Ways{
-				mechanism.Ways{}.With(mechanism.ClassRoom, mechanism.Demand),
 				mechanism.Ways{}.With(mechanism.ServiceRoom, mechanism.Gradient),
 				mechanism.Ways{}.With(mechanism.ServiceRoom, mechanism.Additive),
 			} {
--- a/pkg/connection/forwarding/affinity.go
+++ b/pkg/connection/forwarding/affinity.go
@@ -22,7 +22,6 @@
 	c.directory.EachInstance(func(directory.Instance) { c.instances++ })
 	c.affinity = instances >= affinityFrom
 	for _, servers := range c.servers.byService {
-		setApart(servers)
 		for _, v := range servers {
 			v.distance = 0
 		}
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -152,8 +152,6 @@
 	instances int
 	// affinity says that this instance prefers some servers, see assignAffinity.
 	affinity bool
-	// urgencies are what callers of each service ask for.
-	urgencies map[string]urgency
 	// meanAnswers are the mean answer times of each service's servers.
 	meanAnswers map[string]time.Duration
 	// sums is reused by averageOthers.
@@ -198,7 +196,7 @@
 	}
 	c := &Core{
 		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
-		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration), urgencies: make(map[string]urgency), meanAnswers: make(map[string]time.Duration), sums: make(map[string]loadSum),
+		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration), meanAnswers: make(map[string]time.Duration), sums: make(map[string]loadSum),
 		health: newHealth(o.Health, o.Off),
 	}
 	if o.Admission != nil {
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -25,7 +25,6 @@
 // first class that has any.
 func (c *Core) place(now time.Duration, r directory.Route, f *flow, copies int) *server {
 	service := serviceOf(r, f.key)
-	part := c.prefers(now, service, r)
 	p, reserve := placing{flow: f, copies: copies, trial: c.health.allowsTrial(now, service, r)}, c.health.reserves(service, r)
 	servers := c.servers.byService[service]
 	c.draw++
@@ -40,7 +39,7 @@
 	}
 	for i, v := range servers {
 		if class := c.placementClass(now, p, v); class < placementClasses {
-			k := c.weighPart(c.weighHealth(c.candidate(now, v), r, reserve, v), part, v)
+			k := c.weighHealth(c.candidate(now, v), r, reserve, v)
 			if drawn {
 				two[class].Offer(i, k)
 			} else {
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -39,8 +39,6 @@
 	// distance is how far the server is from this instance on the ring of its service and
 	// data centre, from 0 to 1, see assignAffinity.
 	distance float64
-	// apart says that the server is set apart for more urgent flows, see setApart.
-	apart bool
 	// meanOthers is the mean of others.running over the servers of the service and data
 	// centre.
 	meanOthers float64
--- a/pkg/connection/mechanism/way.go
+++ b/pkg/connection/mechanism/way.go
@@ -11,10 +11,8 @@
 // Decisions, each with its ways. The first way of each is the one that instances use unless
 // the policy names another.
 const (
-	// ClassRoom is how more urgent requests go first while a service is short.
-	ClassRoom Decision = iota
 	// ServiceRoom is how many requests may run while a service is short.
-	ServiceRoom
+	ServiceRoom Decision = iota
 	// Placing is which of the usable servers a flow goes to.
 	Placing
 	decisionCount
@@ -23,13 +21,6 @@
 // Way is one way to take a decision. Its number is its place in the list of the decision.
 type Way uint8
 
-// Ways of ClassRoom.
-const (
-	Reserve Way = iota
-	Demand
-	DemandApart
-)
-
 // Ways of ServiceRoom.
 const (
 	Delay Way = iota
@@ -51,11 +42,6 @@
 	name string
 	ways []wayDescription
 }{
-	{"ClassRoom", []wayDescription{
-		{"Reserve", "more urgent classes get more places, and all of them if they ask for clearly less than all places"},
-		{"Demand", "of each more urgent class, the callers for whom the slots have room by what the classes ask for"},
-		{"DemandApart", "as Demand, and a part of the servers is set apart for flows that are more urgent than others"},
-	}},
 	{"ServiceRoom", []wayDescription{
 		{"Delay", "as many requests as keep the queueing delay at its aim, by Little's law"},
 		{"Gradient", "places follow the ratio of idle to present answer times, with room for a queue of their square root"},
--- a/pkg/connection/mechanism/way_test.go
+++ b/pkg/connection/mechanism/way_test.go
@@ -27,7 +27,7 @@
 // Guards against a wrong file that is taken for the standard ways.
 func TestUnknownAndRepeatedWaysAreErrors(t *testing.T) {
 	var unknown *mechanism.UnknownWayError
-	for _, text := range []string{"Placing=Nearest", "Order=Demand", "Placing", "=LeastLoad"} {
+	for _, text := range []string{"Placing=Nearest", "Order=LeastLoad", "Placing", "=LeastLoad"} {
 		if _, err := mechanism.ParseWays(text); !errors.As(err, &unknown) || !strings.Contains(err.Error(), "Placing=LeastLoad|") {
 			t.Errorf("%s: error %v", text, err)
 		}
