Run old and new builds side by side, and say which build runs

Cause: nothing ran two builds, and no log line or metric named the build. Instances name their build at the start and in tanagerweir_build_info. Ruled out: a matrix of its own with fixed steps; the soak's faults (store restored from older copies, cut off, silent) and checks already stand. Not covered: instances of one data centre cut off from the other during an upgrade, and time until a fleet of 12 has one build.

--- a/cmd/internal/soak/instance.go
+++ b/cmd/internal/soak/instance.go
@@ -50,6 +50,8 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd // started last
+	// launches is how often a process was started.
+	launches int
 	// exited is closed when the process has ended.
 	exited chan struct{}
 	closed bool // the process isn't started again
@@ -91,7 +93,7 @@
 		return errors.Wrap(err, "open log")
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
-	command := exec.Command(i.harness.options.Binary, "entry", "--metrics-port", "0")
+	command := exec.Command(i.nextBinary(), "entry", "--metrics-port", "0")
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+i.settings)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
@@ -105,6 +107,17 @@
 	return nil
 }
 
+// nextBinary returns the program of the next process.
+func (i *instance) nextBinary() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.launches++
+	if previous := i.harness.options.Previous; previous != "" && i.launches%2 == 1 {
+		return previous
+	}
+	return i.harness.options.Binary
+}
+
 // reap waits for the end of the process, and closes exited then.
 func (i *instance) reap(command *exec.Cmd, exited chan struct{}) {
 	_ = command.Wait() // its log shows how it ended
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -48,6 +48,9 @@
 type Options struct {
 	// Binary is the program that runs an instance.
 	Binary string
+	// Previous is the program of the build before, "" for none. Instances start with it, and
+	// change to the other build at each restart, so that both serve side by side.
+	Previous string
 	// Seed is the seed from which faults are drawn; their timing varies between runs.
 	Seed uint64
 	// For is how long faults are injected.
--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -20,6 +20,7 @@
 	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/process/build"
 	"github.com/tanagerweir/tanagerweir/pkg/process/entry"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
 	"github.com/tanagerweir/tanagerweir/pkg/process/policy"
@@ -81,7 +82,7 @@
 	defer closeLog()
 	logger = logger.With("Instance", s.Name)
 	log.SetOutput(logs.Libraries(logger))
-	logger.InfoContext(logs.Always(), "Instance: started.", "DataCentre", s.DataCentre, "Packets", s.Packets, "Peers", s.Peers, "Store", s.Store.Endpoint, "Off", p.Off.String(), "Ways", p.Ways.String())
+	logger.InfoContext(logs.Always(), "Instance: started.", "Build", build.Read().String(), "DataCentre", s.DataCentre, "Packets", s.Packets, "Peers", s.Peers, "Store", s.Store.Endpoint, "Off", p.Off.String(), "Ways", p.Ways.String())
 	node, closeNode, err := entry.New(entryOptions(s, p, store, logger, c.Uint16("metrics-port")))
 	if err != nil {
 		return err
--- a/cmd/weirctl/cmds/soak.go
+++ b/cmd/weirctl/cmds/soak.go
@@ -21,6 +21,7 @@
 		UsageText: "weirctl soak --binary target/tanagerweir --seed 1 --seeds 5 --for 10s",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binary", Value: "target/tanagerweir", Usage: "program that runs an instance"},
+			&cli.StringFlag{Name: "previous", Usage: "program of an earlier build: instances start with it, and change to the other build at each restart"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.Uint64Flag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds to run"},
 			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "how long faults are injected for each seed"},
@@ -34,7 +35,7 @@
 	broken := false
 	for n := range c.Uint64("seeds") {
 		r, err := soak.Run(ctx, soak.Options{
-			Binary: c.String("binary"), Seed: c.Uint64("seed") + n, For: c.Duration("for"), LogDirectory: c.String("logs"),
+			Binary: c.String("binary"), Previous: c.String("previous"), Seed: c.Uint64("seed") + n, For: c.Duration("for"), LogDirectory: c.String("logs"),
 		})
 		if err != nil {
 			return err
@@ -48,7 +49,11 @@
 		for _, line := range append(r.Faults, r.Broken...) {
 			fmt.Fprintln(out, line)
 		}
-		fmt.Fprintf(out, "Again: weirctl soak --seed %d --for %v --binary %s\n", r.Seed, c.Duration("for"), c.String("binary"))
+		fmt.Fprintf(out, "Again: weirctl soak --seed %d --for %v --binary %s", r.Seed, c.Duration("for"), c.String("binary"))
+		if previous := c.String("previous"); previous != "" {
+			fmt.Fprintf(out, " --previous %s", previous)
+		}
+		fmt.Fprintln(out)
 	}
 	if broken {
 		return ErrPromiseBroken
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/process/build"
 )
 
 // DefaultMetricsPort is the port for metrics where none is set.
@@ -74,7 +75,10 @@
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tanagerweir_entry_confirmed_age_seconds", Help: "Time since the configuration was known to be the newest.",
 	}, func() float64 { return confirmedAge().Seconds() })
-	m.registry.MustRegister(packets, m.placed, m.answers, beliefs, restarts, age, storeCalls{read: calls, description: prometheus.NewDesc(
+	running := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "tanagerweir_build_info", Help: "1, with the revision of the build that runs.", ConstLabels: prometheus.Labels{"revision": build.Read().String()},
+	}, func() float64 { return 1 })
+	m.registry.MustRegister(running, packets, m.placed, m.answers, beliefs, restarts, age, storeCalls{read: calls, description: prometheus.NewDesc(
 		"tanagerweir_entry_store_calls_total", "Calls to the platform's store, by kind.", []string{"kind"}, nil)})
 	return m
 }
