Keep the room that follows the delay, and remove gradient and additive increase

Hypothesis: on 14, 120 and 1,000 servers a gradient of answer times, or additive increase with multiplicative decrease, finds the room of a short service better than Little's law. Conclusion: Delay stays; the others go, with their interface.

--- a/pkg/connection/admission/admission.go
+++ b/pkg/connection/admission/admission.go
@@ -54,8 +54,6 @@
 	Epoch time.Duration
 	// Off are the mechanisms that are switched off.
 	Off mechanism.Set
-	// Ways are the ways in which it decides.
-	Ways mechanism.Ways
 }
 
 // Route is what admission knows about one route and one of its services.
@@ -126,7 +124,7 @@
 		}
 		s, ok := before[name]
 		if !ok {
-			s = newService(name, c.options)
+			s = newService(name, c.options.Off)
 		}
 		s.configure(target, byService[name])
 		c.services[name], c.byHash[s.hash] = s, s
--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -250,7 +250,18 @@
 // correct adapts the places to the delay: fewer if it is longer than aimed for, more if it is
 // shorter and there are more requests than places.
 func (s *service) correct() {
-	target := s.room.target(s)
+	ratio := s.answerRatio()
+	target := s.correction
+	switch {
+	case ratio < 1:
+		// The delay is the one of the requests that ran when the answered ones came.
+		before := s.past(s.work + s.combined).inFlight
+		target = min(target, float64(before)*ratio/max(s.fairPlaces(), 1))
+	case s.window.refused > 0:
+		target = max(target*ratio, 1)
+	default:
+		target = max(target, 1)
+	}
 	s.correction += correctionWeight * (target - s.correction)
 	// With a request at each slot a delay isn't one of queues, as where all servers are slow.
 	s.correction = min(max(s.correction, 1/s.placesPerSlot()), greatestCorrection)
--- a/pkg/connection/admission/play_test.go
+++ b/pkg/connection/admission/play_test.go
@@ -84,7 +84,6 @@
 	design design
 	// off are the mechanisms that are switched off.
 	off  mechanism.Set
-	ways mechanism.Ways
 	seed uint64
 	// factor is the load in capacities from crowdFrom to crowdTo, and usual that of the
 	// rest.
@@ -243,7 +242,7 @@
 }
 
 func (p *player) newCore() *admission.Core {
-	core := admission.New(admission.Options{Off: p.off, Ways: p.ways})
+	core := admission.New(admission.Options{Off: p.off})
 	core.Configure([]admission.Route{
 		{Service: service, Endpoint: routes[0], Target: p.targets[0]},
 		{Service: service, Endpoint: routes[1], Target: p.targets[1], Priority: 1},
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -91,9 +91,7 @@
 // service is the state of one service.
 type service struct {
 	// off are the mechanisms that are switched off.
-	off mechanism.Set
-	// room is the way to decide how many requests may run.
-	room   roomControl
+	off    mechanism.Set
 	name   string
 	hash   uint32
 	target time.Duration
@@ -181,8 +179,8 @@
 	refused      uint64
 }
 
-func newService(name string, o Options) *service {
-	return &service{off: o.Off, room: roomOf(o.Ways), name: name, hash: hashOf(name), routes: make(map[netip.AddrPort]*route)}
+func newService(name string, off mechanism.Set) *service {
+	return &service{off: off, name: name, hash: hashOf(name), routes: make(map[netip.AddrPort]*route)}
 }
 
 // configure replaces the routes and the classes, whose counts stay.
--- a/pkg/connection/admission/shape_test.go
+++ b/pkg/connection/admission/shape_test.go
@@ -91,13 +91,6 @@
 			p.usual = usual
 			f := play(p)
 			t.Log("product:", f)
-			for _, w := range []mechanism.Ways{
-				mechanism.Ways{}.With(mechanism.ServiceRoom, mechanism.Gradient),
-				mechanism.Ways{}.With(mechanism.ServiceRoom, mechanism.Additive),
-			} {
-				p.ways = w
-				t.Log(w, play(p))
-			}
 			check(t, "UrgentOnTime", float64(f.urgentOnTime) >= shape.urgentOnTime*float64(f.urgentAsked), f)
 			check(t, "NothingRefusedBefore", f.refusedBefore == 0, f)
 			if l.leave == 0 {
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -201,7 +201,7 @@
 	}
 	if o.Admission != nil {
 		a := *o.Admission
-		a.Off, a.Ways = o.Off, o.Ways
+		a.Off = o.Off
 		c.admission = admission.New(a)
 	}
 	return c
--- a/pkg/connection/mechanism/way.go
+++ b/pkg/connection/mechanism/way.go
@@ -11,23 +11,14 @@
 // Decisions, each with its ways. The first way of each is the one that instances use unless
 // the policy names another.
 const (
-	// ServiceRoom is how many requests may run while a service is short.
-	ServiceRoom Decision = iota
 	// Placing is which of the usable servers a flow goes to.
-	Placing
+	Placing Decision = iota
 	decisionCount
 )
 
 // Way is one way to take a decision. Its number is its place in the list of the decision.
 type Way uint8
 
-// Ways of ServiceRoom.
-const (
-	Delay Way = iota
-	Gradient
-	Additive
-)
-
 // Ways of Placing.
 const (
 	LeastLoad Way = iota
@@ -42,11 +33,6 @@
 	name string
 	ways []wayDescription
 }{
-	{"ServiceRoom", []wayDescription{
-		{"Delay", "as many requests as keep the queueing delay at its aim, by Little's law"},
-		{"Gradient", "places follow the ratio of idle to present answer times, with room for a queue of their square root"},
-		{"Additive", "places grow by one in each tick, and shrink by a tenth when servers shed or the delay is too long"},
-	}},
 	{"Placing", []wayDescription{
 		{"LeastLoad", "the server with the least load, in requests a slot"},
 		{"TwoChoices", "the less loaded one of two that are drawn"},
