--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -82,7 +82,7 @@
 	defer closeLog()
 	logger = logger.With("Instance", s.Name)
 	log.SetOutput(logs.Libraries(logger))
-	logger.InfoContext(logs.Always(), "Instance: started.", "Build", build.Read().String(), "DataCentre", s.DataCentre, "Packets", s.Packets, "Peers", s.Peers, "Store", s.Store.Endpoint, "Off", p.Off.String(), "Ways", p.Ways.String())
+	logger.InfoContext(logs.Always(), "Instance: started.", "Build", build.Read().String(), "DataCentre", s.DataCentre, "Packets", s.Packets, "Peers", s.Peers, "Store", s.Store.Endpoint, "Off", p.Off.String())
 	node, closeNode, err := entry.New(entryOptions(s, p, store, logger, c.Uint16("metrics-port")))
 	if err != nil {
 		return err
@@ -136,7 +136,7 @@
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
 		MaxStretch:         s.Bounds.MaxStretch,
 		MaxFlow:            s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
-		Admission: admissionOptions(p), Health: healthOptions(s, p), Off: p.Off, Ways: p.Ways,
+		Admission: admissionOptions(p), Health: healthOptions(s, p), Off: p.Off,
 	}
 }
 
--- a/cmd/weirctl/cmds/emulate.go
+++ b/cmd/weirctl/cmds/emulate.go
@@ -30,7 +30,6 @@
 			&cli.Uint64Flag{Name: "runs", Value: 1, Usage: "number of consecutive seeds to run"},
 			&cli.StringSliceFlag{Name: "design", Value: []string{string(emulation.Product)}, Usage: "design that places flows; repeat the flag to compare several: " + designNames()},
 			&cli.StringFlag{Name: "off", Usage: "mechanisms to switch off, separated by commas: " + mechanism.Names()},
-			&cli.StringFlag{Name: "ways", Usage: "ways to take decisions, separated by commas, the first of each being the usual one: " + mechanism.WayNames()},
 			&cli.BoolFlag{Name: "drawn", Usage: "draw each run's faults from its seed instead of taking those of the day"},
 			&cli.BoolFlag{Name: "shrink", Usage: "remove faults for as long as a promise stays broken, and print the remaining ones"},
 			&cli.StringFlag{Name: "html", Usage: "file to write a report with plots to"},
@@ -56,7 +55,6 @@
 	file    string
 	day     day.Day
 	off     mechanism.Set
-	ways    mechanism.Ways
 	results []emulation.Result
 }
 
@@ -79,11 +77,7 @@
 	if err != nil {
 		return errors.Wrapf(tree.ErrUsage, "off: %v", err)
 	}
-	ways, err := mechanism.ParseWays(c.String("ways"))
-	if err != nil {
-		return errors.Wrapf(tree.ErrUsage, "ways: %v", err)
-	}
-	e := &experiment{command: c, file: c.Args().First(), day: d, off: off, ways: ways}
+	e := &experiment{command: c, file: c.Args().First(), day: d, off: off}
 	for n := range c.Uint64("runs") {
 		if err := e.runSeed(c.Uint64("seed") + n); err != nil {
 			return err
@@ -107,7 +101,7 @@
 		d = d.WithFaults(day.DrawFaults(d, seed))
 	}
 	for _, design := range e.command.StringSlice("design") {
-		r, err := e.run(d, emulation.Options{Seed: seed, Design: emulation.Design(design), Platform: emulated.Platform{}, Off: e.off, Ways: e.ways})
+		r, err := e.run(d, emulation.Options{Seed: seed, Design: emulation.Design(design), Platform: emulated.Platform{}, Off: e.off})
 		if err != nil {
 			return err
 		}
@@ -172,7 +166,7 @@
 // prints the sections of the remaining ones.
 func (e *experiment) shrink(d day.Day, seed uint64, design emulation.Design) error {
 	out := e.command.Root().Writer
-	shrunk, err := emulation.Shrink(d, emulation.Options{Seed: seed, Design: design, Platform: emulated.Platform{}, Off: e.off, Ways: e.ways}, func(message string) {
+	shrunk, err := emulation.Shrink(d, emulation.Options{Seed: seed, Design: design, Platform: emulated.Platform{}, Off: e.off}, func(message string) {
 		fmt.Fprintln(out, "  Shrink:", message)
 	})
 	if err != nil {
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -131,8 +131,6 @@
 	Admission *admission.Options
 	// Off are the mechanisms that are switched off, of this package and of those that it uses.
 	Off mechanism.Set
-	// Ways are the ways of decisions, likewise.
-	Ways mechanism.Ways
 }
 
 // Core decides about the packets that one instance receives.
@@ -152,8 +150,6 @@
 	instances int
 	// affinity says that this instance prefers some servers, see assignAffinity.
 	affinity bool
-	// meanAnswers are the mean answer times of each service's servers.
-	meanAnswers map[string]time.Duration
 	// sums is reused by averageOthers.
 	sums map[string]loadSum
 	// confirmed is when the directory was last known to be the newest, and
@@ -190,13 +186,10 @@
 func New(o Options) *Core {
 	if o.Policy == nil {
 		o.Policy = placement.Score
-		if o.Ways.Of(mechanism.Placing) == mechanism.LeastWait {
-			o.Policy = placement.ScoreByWait
-		}
 	}
 	c := &Core{
 		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
-		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration), meanAnswers: make(map[string]time.Duration), sums: make(map[string]loadSum),
+		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration), sums: make(map[string]loadSum),
 		health: newHealth(o.Health, o.Off),
 	}
 	if o.Admission != nil {
@@ -374,8 +367,5 @@
 		c.updateState(now, v)
 	}
 	c.updateReach(now)
-	if c.options.Ways.Of(mechanism.Placing) == mechanism.LeastWait {
-		c.averageAnswers()
-	}
 	c.tickAdmission(now)
 }
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -29,30 +29,16 @@
 	servers := c.servers.byService[service]
 	c.draw++
 	best := [placementClasses]placement.Best{}
-	two := [placementClasses]placement.Two{}
-	drawn := c.options.Ways.Of(mechanism.Placing) == mechanism.TwoChoices
 	for class := range best {
 		best[class] = placement.NewBest(c.draw, c.options.Policy)
-		if drawn {
-			two[class] = placement.NewTwo(c.draw, c.options.Policy)
-		}
 	}
 	for i, v := range servers {
 		if class := c.placementClass(now, p, v); class < placementClasses {
-			k := c.weighHealth(c.candidate(now, v), r, reserve, v)
-			if drawn {
-				two[class].Offer(i, k)
-			} else {
-				best[class].Offer(i, k)
-			}
+			best[class].Offer(i, c.weighHealth(c.candidate(now, v), r, reserve, v))
 		}
 	}
 	for class := range best {
-		i, ok := best[class].Choice()
-		if drawn {
-			i, ok = two[class].Choice()
-		}
-		if ok {
+		if i, ok := best[class].Choice(); ok {
 			return servers[i]
 		}
 	}
@@ -149,34 +135,10 @@
 		Local:    v.DataCentre == c.options.DataCentre,
 		Penalty:  v.observed.penalty(now),
 		Distance: v.distance,
-		Slowness: c.slowness(v),
 		Averaged: c.affinity && !c.options.Off.Has(mechanism.EarlySpill),
 	}
 }
 
-// slowness returns the server's answer time in mean ones of its service, 0 if unknown.
-func (c *Core) slowness(v *server) float64 {
-	if mean := c.meanAnswers[v.Service]; mean > 0 && v.observed.answerTime > 0 {
-		return float64(v.observed.answerTime) / float64(mean)
-	}
-	return 0
-}
-
-// averageAnswers averages the answer times of each service's servers.
-func (c *Core) averageAnswers() {
-	for name, servers := range c.servers.byService {
-		var sum time.Duration
-		n := 0
-		for _, v := range servers {
-			if v.observed.answerTime > 0 {
-				sum += v.observed.answerTime
-				n++
-			}
-		}
-		c.meanAnswers[name] = sum / time.Duration(max(n, 1))
-	}
-}
-
 // capacity returns how many requests the backend server carries at once, 0 while it is
 // ejected.
 func (v *server) capacity() int { return v.health.Limit(v.Slots) }
--- a/pkg/connection/mechanism/mechanism.go
+++ b/pkg/connection/mechanism/mechanism.go
@@ -1,8 +1,8 @@
-// Package mechanism names the mechanisms that decide under load, and the ways of decisions that
-// can be taken in several, so that each can be switched off or replaced by one name: by operators
-// in the policy file, and in emulated days that measure what it is worth.
+// Package mechanism names the mechanisms that decide under load, so that each can be switched
+// off by one name: by operators in the policy file, and in emulated days that measure what it is
+// worth.
 //
-// Promises hang on none of these. What keeps cold bounds, runs a request at most once and keeps
+// Promises hang on none of them. What keeps cold bounds, runs a request at most once and keeps
 // flows has no name here.
 //
 // # Usage
--- a/pkg/connection/placement/placement.go
+++ b/pkg/connection/placement/placement.go
@@ -58,8 +58,6 @@
 	// Distance says how far the server is from those that the instance prefers, from 0
 	// to 1.
 	Distance float64
-	// Slowness is the server's answer time in mean ones of its service, 0 if unknown.
-	Slowness float64
 	// Averaged says that Running contains an average of what other instances cause at the
 	// servers of the service and data centre.
 	Averaged bool
@@ -82,21 +80,6 @@
 	return score
 }
 
-// leastSlowness and greatestSlowness bound what an answer time counts for, as few answers may
-// show it.
-const leastSlowness, greatestSlowness = 0.5, 8
-
-// ScoreByWait is like Score, but counts the load in mean answer times that a request is expected
-// to wait for.
-func ScoreByWait(c Candidate) float64 {
-	score := Score(c)
-	if c.Slowness == 0 {
-		return score
-	}
-	load := (c.Running + openLoad*c.Open + 1) / float64(max(c.Slots, 1))
-	return score + load*(min(max(c.Slowness, leastSlowness), greatestSlowness)-1)
-}
-
 // Best finds the candidate with the lowest score.
 type Best struct {
 	policy Policy
@@ -120,63 +103,5 @@
 	}
 }
 
-// Two finds the better of two candidates that are drawn among those of the caller's data centre,
-// or of two of the others if that is better still.
-type Two struct {
-	policy Policy
-	draw   uint64
-	drawn  [2]drawnPair
-}
-
-// drawnPair holds the two candidates with the lowest random numbers.
-type drawnPair [2]struct {
-	index int
-	key   uint64
-	score float64
-}
-
-// NewTwo returns a search without candidates. The draw decides which candidates are drawn.
-func NewTwo(draw uint64, p Policy) Two {
-	t := Two{policy: p, draw: draw}
-	for i := range t.drawn {
-		for n := range t.drawn[i] {
-			t.drawn[i][n].index, t.drawn[i][n].key, t.drawn[i][n].score = -1, math.MaxUint64, math.Inf(1)
-		}
-	}
-	return t
-}
-
-// Offer adds a candidate; Choice returns the index if it is drawn and the better one.
-func (t *Two) Offer(index int, c Candidate) {
-	t.draw = t.draw*6364136223846793005 + 1442695040888963407
-	pair := &t.drawn[0]
-	if !c.Local {
-		pair = &t.drawn[1]
-	}
-	key := t.draw >> 16
-	if key >= pair[1].key {
-		return
-	}
-	pair[1].index, pair[1].key, pair[1].score = index, key, t.policy(c)
-	if key < pair[0].key {
-		pair[0], pair[1] = pair[1], pair[0]
-	}
-}
-
-// Choice returns the index of the best of the drawn candidates, and false if there was none.
-func (t *Two) Choice() (int, bool) {
-	best := t.drawn[0][0]
-	for _, c := range [...]struct {
-		index int
-		key   uint64
-		score float64
-	}{t.drawn[0][1], t.drawn[1][0], t.drawn[1][1]} {
-		if c.score < best.score {
-			best = c
-		}
-	}
-	return best.index, best.index >= 0
-}
-
 // Choice returns the index of the best candidate, and false if there was none.
 func (b *Best) Choice() (int, bool) { return b.index, b.index >= 0 }
--- a/pkg/connection/placement/placement_test.go
+++ b/pkg/connection/placement/placement_test.go
@@ -91,39 +91,3 @@
 	}
 	return remaining
 }
-
-// Guards against a flow that goes to the worse of the two servers that are drawn, or leaves its
-// data centre although one of them has room.
-func TestTwoChoosesTheBetterOfTwoNearServers(t *testing.T) {
-	chosen := make(map[int]int)
-	for draw := range uint64(2000) {
-		two := placement.NewTwo(draw*2654435761, placement.Score)
-		for i := range 8 {
-			two.Offer(i, placement.Candidate{Slots: 1, Running: float64(i % 4), Local: i < 4})
-		}
-		i, ok := two.Choice()
-		if !ok {
-			t.Fatal("no choice")
-		}
-		chosen[i]++
-	}
-	// Server 3 is never better than the other one, and at load 2 a drawn pair is left only
-	// for one that is 2 lower in another data centre.
-	if chosen[3]+chosen[7]+chosen[6]+chosen[5] > 0 || chosen[0] < chosen[1] || chosen[1] < chosen[2] {
-		t.Errorf("choices %v", chosen)
-	}
-	empty := placement.NewTwo(1, placement.Score)
-	if _, ok := empty.Choice(); ok {
-		t.Error("a choice without candidates")
-	}
-}
-
-// Guards against a slow server that gets as much as a quick one of the same load.
-func TestScoreByWaitRanksSlowServersBehind(t *testing.T) {
-	c := placement.Candidate{Slots: 2, Running: 1, Local: true}
-	quick, slow := c, c
-	quick.Slowness, slow.Slowness = 1, 3
-	if placement.ScoreByWait(quick) != placement.Score(c) || placement.ScoreByWait(slow) <= placement.ScoreByWait(quick) || placement.ScoreByWait(c) != placement.Score(c) {
-		t.Error(placement.ScoreByWait(c), placement.ScoreByWait(quick), placement.ScoreByWait(slow), placement.Score(c))
-	}
-}
--- a/pkg/emulation/emulation.go
+++ b/pkg/emulation/emulation.go
@@ -33,8 +33,6 @@
 	WithoutAdmission bool
 	// Off are mechanisms that are switched off at all instances.
 	Off mechanism.Set
-	// Ways are the ways of decisions at all instances.
-	Ways mechanism.Ways
 	// Log receives the logs of all instances as JSON lines; nil discards them.
 	Log io.Writer
 }
--- a/pkg/emulation/world.go
+++ b/pkg/emulation/world.go
@@ -56,7 +56,6 @@
 	// withoutAdmission lets instances admit all new flows.
 	withoutAdmission bool
 	off              mechanism.Set
-	ways             mechanism.Ways
 	log              io.Writer
 	clock            *timeline.Timeline
 	random           *rand.Rand
@@ -102,7 +101,7 @@
 
 func newWorld(d day.Day, o Options) *world {
 	w := &world{
-		day: d, seed: o.Seed, design: o.Design, platform: o.Platform, log: o.Log, withoutAdmission: o.WithoutAdmission, off: o.Off, ways: o.Ways, clock: timeline.New(),
+		day: d, seed: o.Seed, design: o.Design, platform: o.Platform, log: o.Log, withoutAdmission: o.WithoutAdmission, off: o.Off, clock: timeline.New(),
 		byPeerAddress: make(map[netip.AddrPort]*instance), byEndpoint: make(map[netip.AddrPort]*server), byID: make(map[string]*server),
 		routes: make(map[string]netip.AddrPort), openingsSent: make(map[instanceAndServer]int),
 	}
@@ -202,7 +201,7 @@
 	o.Seed = w.seed<<16 + uint64(slices.Index(w.instances, i))<<8 + uint64(i.boot)
 	o.LinkBytesPerSecond = i.bytesPerSecond
 	o.Health.Enabled = w.day.Health
-	o.Off, o.Ways = w.off, w.ways
+	o.Off = w.off
 	o.Policy = w.design.policyFor(w, i)
 	o.Logger = w.logger(i)
 	if !w.withoutAdmission {
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -62,7 +62,7 @@
 	core := forwarding.New(forwarding.Options{
 		Name: o.Name, DataCentre: o.DataCentre, Seed: o.Seed, Policy: o.Policy, ColdFactor: o.ColdFactor, ColdSlack: o.ColdSlack,
 		Health:    o.Health,
-		Admission: o.Admission, Off: o.Off, Ways: o.Ways,
+		Admission: o.Admission, Off: o.Off,
 	})
 	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) })
 	metrics.countPanics(e.guards)
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -125,8 +125,6 @@
 	Admission *admission.Options
 	// Off is passed to forwarding.Options.
 	Off mechanism.Set
-	// Ways is passed to forwarding.Options.
-	Ways mechanism.Ways
 	// Policy ranks backend servers for new flows; nil selects the default policy.
 	Policy placement.Policy
 }
--- a/pkg/process/policy/policy.go
+++ b/pkg/process/policy/policy.go
@@ -39,8 +39,6 @@
 	LongestEjection     time.Duration
 	// Off are the mechanisms that are switched off.
 	Off mechanism.Set
-	// Ways are the ways of the decisions that can be taken in several.
-	Ways mechanism.Ways
 }
 
 // Key describes one key of the file.
@@ -76,10 +74,6 @@
 			Name: "Off", Default: "", Allowed: "names of mechanisms, separated by commas: " + mechanism.Names(),
 			Meaning: "mechanisms that are switched off, to find out what they are worth; promises hang on none of them", set: setOff,
 		},
-		{
-			Name: "Ways", Default: "", Allowed: "pairs DECISION=WAY, separated by commas, the first way of each being the one without this key: " + mechanism.WayNames(),
-			Meaning: "ways to take decisions, to compare them; promises hang on none of them", set: setWays,
-		},
 	}
 }
 
@@ -88,11 +82,6 @@
 	return err
 }
 
-func setWays(p *Policy, value string) (err error) {
-	p.Ways, err = mechanism.ParseWays(value)
-	return err
-}
-
 func switchKey(name, meaning string, field func(*Policy) *bool) Key {
 	return Key{Name: name, Default: "On", Allowed: "On or Off", Meaning: meaning, set: func(p *Policy, value string) error {
 		if value != "On" && value != "Off" {
--- a/pkg/process/policy/policy_test.go
+++ b/pkg/process/policy/policy_test.go
@@ -68,15 +68,3 @@
 		t.Error("the cold bound can be switched off")
 	}
 }
-
-// Guards against a way that the file names and that isn't taken, and against a wrong name.
-func TestWaysAreNamed(t *testing.T) {
-	p, err := policy.Parse([]byte("[Policy]\nWays = Placing=TwoChoices\n"))
-	want := mechanism.Ways{}.With(mechanism.Placing, mechanism.TwoChoices)
-	if diff := cmp.Diff(want, p.Ways); err != nil || diff != "" {
-		t.Error(err, diff)
-	}
-	if _, err := policy.Parse([]byte("[Policy]\nWays = Placing=Nearest\n")); err == nil {
-		t.Error("an unknown way is accepted")
-	}
-}
