Keep the work of each class, and measure the whole decision of an opening

Cause: the work of a class was summed over all routes of its service at each urgent opening of a short service; the shifted deployment has 240 routes without traffic. Change: it is set with the limit at each tick, from the route with the longest one. A benchmark plays openings with admission, health, two priorities and 240 idle routes.

--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -215,15 +215,25 @@
 	s.failedAverage += rateWeight * (s.failed - s.failedAverage)
 }
 
-// updateLimit updates the average work and the limit of the delay.
+// updateLimit updates the work of the service and its classes, and the limit of the delay.
 func (s *service) updateLimit() {
 	var total time.Duration
 	n := 0
+	for i := range s.classes {
+		s.classes[i].work = 0
+	}
 	for _, r := range s.routes {
 		r.idle.inWindow = 0
 		if r.idle.known() {
 			total += r.idle.median
 			n++
+			k := &s.classes[r.class]
+			k.work = max(k.work, r.idle.median)
+		}
+	}
+	for i := range s.classes {
+		if k := &s.classes[i]; k.work == 0 {
+			k.work = s.work
 		}
 	}
 	if n > 0 {
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -160,6 +160,8 @@
 	windowAsked, windowOutside, windowCrowded uint64
 	// fraction is the part of the callers that may come.
 	fraction float64
+	// work is the longest baseline of the class's routes, that of the service if none is known.
+	work time.Duration
 }
 
 // moment is what was known at a tick: the requests that ran for this instance, and those of
@@ -279,23 +281,7 @@
 
 // slotsOf returns how many slots the demand of a class keeps busy, without waits.
 func (s *service) slotsOf(index int) float64 {
-	return s.classes[index].demand * max(s.workOf(index)-s.roundTrip, 0).Seconds()
-}
-
-// workOf returns the time in which idle servers answer requests of a class.
-func (s *service) workOf(index int) time.Duration {
-	var total time.Duration
-	n := 0
-	for _, r := range s.routes {
-		if r.class == index && r.idle.known() {
-			total += r.idle.median
-			n++
-		}
-	}
-	if n == 0 {
-		return s.work
-	}
-	return total / time.Duration(n)
+	return s.classes[index].demand * max(s.classes[index].work-s.roundTrip, 0).Seconds()
 }
 
 // scarce reports whether there may be no place for a request. Without any warm server, the
--- a/pkg/connection/forwarding/bench_test.go
+++ b/pkg/connection/forwarding/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -174,3 +175,52 @@
 		}
 	}
 }
+
+// BenchmarkOpening is the whole decision of an opening packet while the service is short, with
+// admission, health, two priorities and 240 routes without traffic.
+func BenchmarkOpening(b *testing.B) {
+	for _, size := range []struct{ instances, servers int }{{9, 18}, {78, 150}, {490, 3800}} {
+		d := sized(size.servers, 1200)
+		if size.servers < 3800 {
+			d = sized(size.servers, 2)
+		}
+		for n := range size.instances {
+			d = d.WithInstance(directory.Instance{Name: fmt.Sprintf("entry-%d", n), DataCentre: []string{near, far}[n%2]})
+		}
+		routes := []directory.Route{routeWith(0, 1), routeWith(5000, 0)}
+		for n := range 240 {
+			routes = append(routes, routeWith(5001+n, 1))
+		}
+		d = d.WithConfiguration(directory.Configuration{Version: 2, Routes: routes, Services: []directory.Service{{Name: "service-0", ColdFor: 2 * time.Second}}})
+		c := forwarding.New(forwarding.Options{
+			Name: "entry-0", DataCentre: near, Seed: 1, ColdFactor: 1.5, ColdSlack: 5,
+			Health: forwarding.HealthOptions{Enabled: true}, Admission: &admission.Options{},
+		})
+		c.Confirm(0, 1)
+		c.Adopt(0, d)
+		now := time.Duration(0)
+		for n := range 4000 {
+			now += time.Millisecond
+			c.Decide(now, newCaller(routeOf(0)).open(0))
+			if n%100 == 0 {
+				c.Tick(now, maxFlow)
+			}
+		}
+		p := newCaller(routeOf(5000))
+		open, finish := p.open(0), p.finish()
+		b.Run(fmt.Sprintf("Instances=%d/Short=%t", size.instances, c.Short("service-0")), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				finish.Mark = uint32(c.Decide(now, open).Mark)
+				c.Decide(now, finish)
+			}
+		})
+	}
+}
+
+func routeWith(n, priority int) directory.Route {
+	return directory.Route{
+		Name: fmt.Sprintf("route-%d", n), Endpoint: routeOf(n), Shares: []directory.Share{{Service: "service-0", Weight: 1}},
+		Target: 600 * time.Millisecond, Priority: priority,
+	}
+}
