Say what mechanisms are worth by experiments over the same seeds

Cause: comparing a mechanism with its absence took a script and a table by hand for each question. A metric shows which mechanisms are off. Ruled out: a table of means by cell, which hides that seeds differ more than mechanisms do.

--- a/cmd/weirctl/cmds/check.go
+++ b/cmd/weirctl/cmds/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
+	"github.com/tanagerweir/tanagerweir/pkg/emulation/experiment"
 	"github.com/tanagerweir/tanagerweir/pkg/process/policy"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 	"github.com/tanagerweir/tanagerweir/platform"
@@ -59,7 +60,8 @@
 	return nil
 }
 
-// checkINI checks an INI file: settings of an instance, a policy or an emulated day.
+// checkINI checks an INI file: settings of an instance, a policy, an emulated day or an
+// experiment.
 func checkINI(file string) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -69,6 +71,10 @@
 		_, err = day.Load(file)
 		return err
 	}
+	if experiment.IsExperiment(data) {
+		_, err = experiment.Parse(data)
+		return err
+	}
 	if policy.IsPolicy(data) {
 		_, err = policy.Parse(data)
 		return err
--- a/cmd/weirctl/cmds/commands.go
+++ b/cmd/weirctl/cmds/commands.go
@@ -141,6 +141,7 @@
 			checkCommand(),
 			soakCommand(),
 			emulateCommand(),
+			experimentCommand(),
 		},
 	})
 }
--- a/cmd/weirctl/cmds/emulate.go
+++ b/cmd/weirctl/cmds/emulate.go
@@ -48,9 +48,9 @@
 	return strings.Join(names, ", ")
 }
 
-// experiment is one invocation of the command, which may run several seeds and
+// emulationRun is one invocation of the command, which may run several seeds and
 // designs.
-type experiment struct {
+type emulationRun struct {
 	command *cli.Command
 	file    string
 	day     day.Day
@@ -77,7 +77,7 @@
 	if err != nil {
 		return errors.Wrapf(tree.ErrUsage, "off: %v", err)
 	}
-	e := &experiment{command: c, file: c.Args().First(), day: d, off: off}
+	e := &emulationRun{command: c, file: c.Args().First(), day: d, off: off}
 	for n := range c.Uint64("runs") {
 		if err := e.runSeed(c.Uint64("seed") + n); err != nil {
 			return err
@@ -95,7 +95,7 @@
 }
 
 // runSeed emulates the day with one seed, once for each design.
-func (e *experiment) runSeed(seed uint64) error {
+func (e *emulationRun) runSeed(seed uint64) error {
 	d := e.day
 	if e.command.Bool("drawn") {
 		d = d.WithFaults(day.DrawFaults(d, seed))
@@ -116,7 +116,7 @@
 	return nil
 }
 
-func (e *experiment) run(d day.Day, o emulation.Options) (_ emulation.Result, err error) {
+func (e *emulationRun) run(d day.Day, o emulation.Options) (_ emulation.Result, err error) {
 	if !emulation.KnownDesign(o.Design) {
 		return emulation.Result{}, errors.Wrapf(tree.ErrUsage, "design %q isn't one of %s", o.Design, designNames())
 	}
@@ -139,7 +139,7 @@
 
 // printResult prints the result of one run, unless the output is JSON, which is
 // written at the end. A broken promise is printed with the command that repeats it.
-func (e *experiment) printResult(r emulation.Result) {
+func (e *emulationRun) printResult(r emulation.Result) {
 	if e.command.String(flagFormat) == formatJSON {
 		return
 	}
@@ -164,7 +164,7 @@
 
 // shrink removes faults from the day for as long as a promise stays broken, and
 // prints the sections of the remaining ones.
-func (e *experiment) shrink(d day.Day, seed uint64, design emulation.Design) error {
+func (e *emulationRun) shrink(d day.Day, seed uint64, design emulation.Design) error {
 	out := e.command.Root().Writer
 	shrunk, err := emulation.Shrink(d, emulation.Options{Seed: seed, Design: design, Platform: emulated.Platform{}, Off: e.off}, func(message string) {
 		fmt.Fprintln(out, "  Shrink:", message)
@@ -180,7 +180,7 @@
 
 // writeReports writes the JSON and HTML reports that the flags ask for, and returns
 // ErrPromiseBroken if a run broke a promise.
-func (e *experiment) writeReports() error {
+func (e *emulationRun) writeReports() error {
 	if e.command.String(flagFormat) == formatJSON {
 		if err := emulation.WriteJSON(e.command.Root().Writer, e.results); err != nil {
 			return err
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -64,7 +64,7 @@
 		Health:    o.Health,
 		Admission: o.Admission, Off: o.Off,
 	})
-	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) })
+	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) }, o.Off)
 	metrics.countPanics(e.guards)
 	if o.Health.Active() {
 		metrics.registerHealth()
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/process/build"
 )
 
@@ -43,7 +44,7 @@
 	demandMetrics
 }
 
-func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration) *metrics {
+func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration, switchedOff mechanism.Set) *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
 	m.demandMetrics = newDemandMetrics(m.registry)
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -75,10 +76,18 @@
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tanagerweir_entry_confirmed_age_seconds", Help: "Time since the configuration was known to be the newest.",
 	}, func() float64 { return confirmedAge().Seconds() })
+	off := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "tanagerweir_entry_mechanism_off", Help: "1 for each mechanism that the policy switches off.",
+	}, []string{"mechanism"})
+	for _, n := range mechanism.All() {
+		if switchedOff.Has(n) {
+			off.WithLabelValues(n.String()).Set(1)
+		}
+	}
 	running := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tanagerweir_build_info", Help: "1, with the revision of the build that runs.", ConstLabels: prometheus.Labels{"revision": build.Read().String()},
 	}, func() float64 { return 1 })
-	m.registry.MustRegister(running, packets, m.placed, m.answers, beliefs, restarts, age, storeCalls{read: calls, description: prometheus.NewDesc(
+	m.registry.MustRegister(running, off, packets, m.placed, m.answers, beliefs, restarts, age, storeCalls{read: calls, description: prometheus.NewDesc(
 		"tanagerweir_entry_store_calls_total", "Calls to the platform's store, by kind.", []string{"kind"}, nil)})
 	return m
 }
