Average the work of a class's routes

Cause: the longest one stood for the class, so that one slow route that callers hardly ask for would make an urgent class seem too large for its room. Change: the mean of the known baselines, as for the whole service.

--- a/pkg/connection/admission/control.go
+++ b/pkg/connection/admission/control.go
@@ -220,7 +220,7 @@
 	var total time.Duration
 	n := 0
 	for i := range s.classes {
-		s.classes[i].work = 0
+		s.classes[i].work, s.classes[i].known = 0, 0
 	}
 	for _, r := range s.routes {
 		r.idle.inWindow = 0
@@ -228,11 +228,12 @@
 			total += r.idle.median
 			n++
 			k := &s.classes[r.class]
-			k.work = max(k.work, r.idle.median)
+			k.known++
+			k.work += (r.idle.median - k.work) / time.Duration(k.known)
 		}
 	}
 	for i := range s.classes {
-		if k := &s.classes[i]; k.work == 0 {
+		if k := &s.classes[i]; k.known == 0 {
 			k.work = s.work
 		}
 	}
--- a/pkg/connection/admission/service.go
+++ b/pkg/connection/admission/service.go
@@ -160,8 +160,9 @@
 	windowAsked, windowOutside, windowCrowded uint64
 	// fraction is the part of the callers that may come.
 	fraction float64
-	// work is the longest baseline of the class's routes, that of the service if none is known.
-	work time.Duration
+	// work is the average of the class's known baselines, that of the service if none is known.
+	work  time.Duration
+	known int
 }
 
 // moment is what was known at a tick: the requests that ran for this instance, and those of
