Count an opening that finds no server at most once off a server's load

Cause: a copy of an opening packet takes its flow off the load of the server that was tried before. Where no server was found for the copy, the end of the record took it off again, so that the load fell below 0 and the server drew more flows than others.

Ruled out: records whose flow opens at another server; these move their load.

The record notes that its latest copy went nowhere. TestCopyWithoutServerLeavesTheLoadAsItIs showed -2 running requests before and shows 0 now.

--- a/pkg/connection/forwarding/flows.go
+++ b/pkg/connection/forwarding/flows.go
@@ -44,6 +44,9 @@
 	// lastSent is when the last opening packet or the last request was sent.
 	tries    [maxTries]*server
 	lastSent time.Duration
+	// unplaced is true if the latest copy of the opening packet went to no server, so that the
+	// flow is no load of the one that was tried last.
+	unplaced bool
 	// opening is the sequence number of the opening packets.
 	opening uint32
 	// server is the backend server at which the flow is open, nil while it opens.
@@ -103,7 +106,7 @@
 		if f.waiting && !f.lost {
 			f.countRunning(f.server, sign)
 		}
-	case f.lastTried() != nil:
+	case f.lastTried() != nil && !f.unplaced:
 		f.countRunning(f.lastTried(), sign)
 	}
 }
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -204,6 +204,7 @@
 			c.reachOf(v.DataCentre).recordFailure(v)
 		}
 		f.countLoad(-1)
+		f.unplaced = true
 	}
 	f.opening = s.Sequence
 	return f
@@ -246,7 +247,7 @@
 	if now < v.coldUntil || c.doubtful(now, v) {
 		v.coldSent = now
 	}
-	f.lastSent, f.failureCounted, f.stale = now, false, false
+	f.lastSent, f.failureCounted, f.stale, f.unplaced = now, false, false, false
 	if f.stored && len(c.flows.openings) < maxFlows {
 		c.flows.openings = append(c.flows.openings, openingPacket{key: f.key, sent: now})
 	}
