Search servers from the least possible load on, and stop once decided

Cause: the search for a new flow's server went through all servers of its service, 0.4 to 0.5 ms at 3,800 servers in one service, in instances of which small ones have 0.192 of a core.

Two ways, the same choice: all servers as before, and groups by data centre in the order of the lowest score that a server can have, by its place on the ring and the mean load that others report; the search stops where no other server can be better. The draw between servers with about equal scores hangs on the server now and not on the order of the search.

Ruled out: keeping servers sorted by load, which changes with each packet.

--- a/pkg/connection/forwarding/affinity.go
+++ b/pkg/connection/forwarding/affinity.go
@@ -1,6 +1,13 @@
 package forwarding
 
-import "github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
+)
 
 // affinityFrom is the number of instances in a data centre from which on each prefers
 // servers of its own. A report of 48 servers takes all that an instance may send in 0.25 s,
@@ -16,7 +23,11 @@
 func (c *Core) assignAffinity() {
 	position, instances := c.ringPosition()
 	c.instances = len(c.directory.Instances())
-	c.affinity = instances >= affinityFrom
+	state := affinityState{position: position, instances: instances, generation: c.servers.generation}
+	if state == c.affinityState {
+		return
+	}
+	c.affinityState, c.affinity = state, instances >= affinityFrom
 	for _, servers := range c.servers.byService {
 		for _, v := range servers {
 			v.distance = 0
@@ -38,6 +49,51 @@
 			next[v.DataCentre]++
 		}
 	}
+	c.rankServers()
+}
+
+// affinityState is what the distances of servers depend on.
+type affinityState struct {
+	position              float64
+	instances, generation int
+}
+
+// rankServers groups the servers of each service by data centre, the own one first, and orders
+// those of a group by the lowest score that they can have. For policies other than
+// placement.Score nothing is known of scores beforehand.
+func (c *Core) rankServers() {
+	clear(c.servers.ranks)
+	for service, servers := range c.servers.byService {
+		var groups []*centreServers
+		for i, v := range servers {
+			n := slices.IndexFunc(groups, func(g *centreServers) bool { return g.dataCentre == v.DataCentre })
+			if n < 0 {
+				n = len(groups)
+				groups = append(groups, &centreServers{dataCentre: v.DataCentre})
+			}
+			k := rank{server: v, index: i, least: math.Inf(-1)}
+			if c.options.Policy == nil {
+				k.least = placement.Least(c.placeOf(v))
+			}
+			groups[n].ranks = append(groups[n].ranks, k)
+			groups[n].slots = max(groups[n].slots, v.Slots)
+		}
+		for _, g := range groups {
+			slices.SortFunc(g.ranks, func(a, b rank) int { return cmp.Or(cmp.Compare(a.least, b.least), cmp.Compare(a.index, b.index)) })
+		}
+		slices.SortFunc(groups, func(a, b *centreServers) int {
+			return cmp.Or(cmp.Compare(c.distanceTo(a), c.distanceTo(b)), cmp.Compare(a.dataCentre, b.dataCentre))
+		})
+		c.servers.ranks[service] = groups
+	}
+}
+
+// distanceTo returns 0 for the own data centre and 1 for others.
+func (c *Core) distanceTo(g *centreServers) int {
+	if g.dataCentre == c.options.DataCentre {
+		return 0
+	}
+	return 1
 }
 
 // ringPosition returns this instance's position among those of its data centre, from 0 to
@@ -63,21 +119,13 @@
 	if !c.affinity {
 		return
 	}
-	for _, servers := range c.servers.byService {
-		clear(c.sums)
-		for _, v := range servers {
-			s := c.sums[v.DataCentre]
-			c.sums[v.DataCentre] = loadSum{running: s.running + v.observed.others.running, servers: s.servers + 1}
-		}
-		for _, v := range servers {
-			s := c.sums[v.DataCentre]
-			v.meanOthers = s.running / float64(s.servers)
+	for _, groups := range c.servers.ranks {
+		for _, g := range groups {
+			g.averageOthers()
+			g.common = 0
+			if !c.options.Off.Has(mechanism.MeanLoads) {
+				g.common = c.reportScale * g.meanOthers / float64(max(g.slots, 1))
+			}
 		}
 	}
 }
-
-// loadSum is the sum of running requests over some servers.
-type loadSum struct {
-	running float64
-	servers int
-}
--- a/pkg/connection/forwarding/bench_test.go
+++ b/pkg/connection/forwarding/bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -112,13 +113,26 @@
 }
 
 // BenchmarkPlacementInOneService places flows of a service that has all servers, so that
-// the search is as long as it can be.
+// the search is as long as it can be: without a ring, and with one where other instances keep
+// the servers idle or busy.
 func BenchmarkPlacementInOneService(b *testing.B) {
-	for _, servers := range []int{18, 150, 3800} {
-		c := newCore(sized(servers, 1))
+	for _, size := range []struct {
+		servers, instances int
+		running            float64
+	}{{18, 0, 0}, {150, 0, 0}, {3800, 0, 0}, {3800, 490, 0}, {3800, 490, 4}} {
+		d := sized(size.servers, 1)
+		for n := range size.instances {
+			d = d.WithInstance(directory.Instance{Name: fmt.Sprintf("entry-%d", n), DataCentre: []string{near, far}[n%2]})
+		}
+		c := newCore(d)
+		var loads []forwarding.Load
+		for _, s := range d.Servers() {
+			loads = append(loads, forwarding.Load{Mark: mark.Of(s.ID), Running: size.running})
+		}
+		c.ReceiveLoads(0, "other", loads, 1)
 		p := newCaller(routeOf(0))
 		open, finish := p.open(0), p.finish()
-		b.Run(fmt.Sprintf("Servers=%d", servers), func(b *testing.B) {
+		b.Run(fmt.Sprintf("Servers=%d/Instances=%d/Running=%g", size.servers, size.instances, size.running), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
 				finish.Mark = uint32(c.Decide(time.Second, open).Mark)
--- a/pkg/connection/forwarding/export_test.go
+++ b/pkg/connection/forwarding/export_test.go
@@ -63,7 +63,7 @@
 		func(v *server) bool { return c.usable(now, v) && c.acceptsCold(now, v) },
 		func(v *server) bool { return c.acceptsDoubtful(now, v, copies) },
 	} {
-		best := placement.NewBest(c.draw, c.options.Policy)
+		best := placement.NewBest(c.draw, c.policy())
 		for i, v := range servers {
 			if accept(v) {
 				best.Offer(i, c.candidate(now, v))
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -149,9 +149,8 @@
 	// instances is the number of registered instances of all data centres.
 	instances int
 	// affinity says that this instance prefers some servers, see assignAffinity.
-	affinity bool
-	// sums is reused by averageOthers.
-	sums map[string]loadSum
+	affinity      bool
+	affinityState affinityState
 	// confirmed is when the directory was last known to be the newest, and
 	// outageEnded when this was so again after an outage of the platform.
 	confirmed, outageEnded time.Duration
@@ -184,12 +183,9 @@
 
 // New returns a Core without a directory; it drops packets until Adopt.
 func New(o Options) *Core {
-	if o.Policy == nil {
-		o.Policy = placement.Score
-	}
 	c := &Core{
 		options: o, servers: newRegistry(), flows: newFlows(), draw: o.Seed, reports: make(map[string]report), reportScale: 1,
-		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration), sums: make(map[string]loadSum),
+		reaches: make(map[string]*reach), askedAt: make(map[string]time.Duration),
 		health: newHealth(o.Health, o.Off),
 	}
 	if o.Admission != nil {
@@ -353,7 +349,9 @@
 // Tick does the periodic work; call it each 0.1 s. A backend server that left the
 // directory stays known by its mark for maxFlow, the longest life of a flow.
 func (c *Core) Tick(now, maxFlow time.Duration) {
-	c.servers.expire(now, maxFlow)
+	if c.servers.expire(now, maxFlow) {
+		c.assignAffinity()
+	}
 	c.checkOpenings(now)
 	c.flows.sweep(now, c.directory.IdleTimeout())
 	c.flows.sweepWaiting(now, c.health.on())
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -128,12 +128,12 @@
 			}
 		}
 	}
-	c.averageOthers()
 	c.health.reporting = reporting
 	c.reportScale = 1
 	if reporting > 0 && c.peerCount > reporting {
 		c.reportScale = float64(c.peerCount) / float64(reporting)
 	}
+	c.averageOthers()
 }
 
 // others is the sum of other instances' reports about a backend server.
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -22,7 +22,9 @@
 
 // place chooses the backend server of a new flow, of which that many copies of the
 // opening packet were sent before, nil if there is none. It takes the best server of the
-// first class that has any.
+// first class that has any. The search goes from the servers that can have the lowest score on,
+// and ends where none of the others can be better: with 3,800 servers in a service a search
+// through all of them takes 0.6 ms.
 func (c *Core) place(now time.Duration, r directory.Route, f *flow, copies int) *server {
 	service := serviceOf(r, f.key)
 	p, reserve := placing{flow: f, copies: copies, trial: c.health.allowsTrial(now, service, r)}, c.health.reserves(service, r)
@@ -30,11 +32,16 @@
 	c.draw++
 	best := [placementClasses]placement.Best{}
 	for class := range best {
-		best[class] = placement.NewBest(c.draw, c.options.Policy)
+		best[class] = placement.NewBest(c.draw, c.policy())
 	}
-	for i, v := range servers {
-		if class := c.placementClass(now, p, v); class < placementClasses {
-			best[class].Offer(i, c.weighHealth(c.candidate(now, v), r, reserve, v))
+	for _, g := range c.servers.ranks[service] {
+		for _, k := range g.ranks {
+			if best[untried].Decided(k.least + g.common - scoreError) {
+				break
+			}
+			if class := c.placementClass(now, p, k.server); class < placementClasses {
+				best[class].Offer(k.index, c.weighHealth(c.candidate(now, k.server), r, reserve, k.server))
+			}
 		}
 	}
 	for class := range best {
@@ -45,6 +52,9 @@
 	return nil
 }
 
+// scoreError is more than the rounding error of a score.
+const scoreError = 1e-9
+
 // placing is a new flow for which a server is chosen.
 type placing struct {
 	flow   *flow
@@ -127,18 +137,31 @@
 }
 
 func (c *Core) candidate(now time.Duration, v *server) placement.Candidate {
+	k := c.placeOf(v)
+	k.Server, k.Slots, k.Running = v.ID, max(v.capacity(), 1), c.running(v)
+	k.Open = float64(v.observed.openFlows) + c.reportScale*float64(v.observed.others.openFlows)
+	k.Penalty = v.observed.penalty(now)
+	return k
+}
+
+// placeOf returns a candidate with what is known of the place of a server, which doesn't change
+// with its load.
+func (c *Core) placeOf(v *server) placement.Candidate {
 	return placement.Candidate{
-		Server:   v.ID,
-		Slots:    max(v.capacity(), 1),
-		Running:  c.running(v),
-		Open:     float64(v.observed.openFlows) + c.reportScale*float64(v.observed.others.openFlows),
 		Local:    v.DataCentre == c.options.DataCentre,
-		Penalty:  v.observed.penalty(now),
 		Distance: v.distance,
 		Averaged: c.affinity && !c.options.Off.Has(mechanism.EarlySpill),
 	}
 }
 
+// policy returns the function that ranks servers.
+func (c *Core) policy() placement.Policy {
+	if c.options.Policy == nil {
+		return placement.Score
+	}
+	return c.options.Policy
+}
+
 // capacity returns how many requests the backend server carries at once, 0 while it is
 // ejected.
 func (v *server) capacity() int { return v.health.Limit(v.Slots) }
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -48,15 +48,50 @@
 type registry struct {
 	byMark    map[mark.Mark]*server
 	byService map[string][]*server
+	// ranks holds the order in which the servers of each service are considered for new flows,
+	// see rankServers.
+	ranks map[string][]*centreServers
 	// sorted holds all servers ordered by identifier, so that the same inputs give
 	// the same decisions, and events in the same order.
 	sorted []*server
 	// services are the names of the services with servers, sorted.
 	services []string
+	// generation counts the changes of the lists.
+	generation int
+}
+
+// rank is a server, its place in the list of its service, and the lowest score that it can have.
+type rank struct {
+	server *server
+	index  int
+	least  float64
+}
+
+// centreServers are the servers of one service in one data centre.
+type centreServers struct {
+	dataCentre string
+	ranks      []rank
+	// slots is the largest number of slots of a server.
+	slots int
+	// meanOthers is the mean of others.running over the servers, and common the load, in
+	// requests a slot, that each of them has at least because of it.
+	meanOthers, common float64
+}
+
+// averageOthers sets meanOthers here and at the servers.
+func (g *centreServers) averageOthers() {
+	sum := 0.0
+	for _, k := range g.ranks {
+		sum += k.server.observed.others.running
+	}
+	g.meanOthers = sum / float64(len(g.ranks))
+	for _, k := range g.ranks {
+		k.server.meanOthers = g.meanOthers
+	}
 }
 
 func newRegistry() registry {
-	return registry{byMark: make(map[mark.Mark]*server), byService: make(map[string][]*server)}
+	return registry{byMark: make(map[mark.Mark]*server), byService: make(map[string][]*server), ranks: make(map[string][]*centreServers)}
 }
 
 // Adopt replaces the directory by a newer one.
@@ -81,7 +116,7 @@
 				v.health = capacity.Server{}
 			}
 		}
-		changed = changed || before == nil
+		changed = changed || before == nil || before.DataCentre != after.DataCentre
 		if v := c.servers.update(now, mark.Of(after.ID), *after); v != nil {
 			// The server was restarted: its earlier flows are gone.
 			c.flows.removeServer(v)
@@ -163,18 +198,21 @@
 		}
 	}
 	r.services = slices.Sorted(maps.Keys(r.byService))
+	r.generation++
 }
 
 // expire removes backend servers that have been missing for longer than maxFlow,
-// the longest life of a flow.
-func (r *registry) expire(now, maxFlow time.Duration) {
+// the longest life of a flow, and reports whether there were any.
+func (r *registry) expire(now, maxFlow time.Duration) bool {
 	before := len(r.byMark)
 	for m, v := range r.byMark {
 		if v.missing && now-v.missingSince > maxFlow {
 			delete(r.byMark, m)
 		}
 	}
-	if len(r.byMark) < before {
-		r.index()
+	if len(r.byMark) == before {
+		return false
 	}
+	r.index()
+	return true
 }
--- a/pkg/connection/placement/placement.go
+++ b/pkg/connection/placement/placement.go
@@ -80,6 +80,12 @@
 	return score
 }
 
+// Least returns the lowest score that a server can have for Score, whatever its load and its
+// penalty. Of the candidate it takes the place alone.
+func Least(c Candidate) float64 {
+	return Score(Candidate{Slots: 1, Local: c.Local, Distance: c.Distance, Averaged: c.Averaged})
+}
+
 // Best finds the candidate with the lowest score.
 type Best struct {
 	policy Policy
@@ -94,14 +100,29 @@
 	return Best{policy: p, draw: draw, index: -1, score: math.Inf(1)}
 }
 
-// Offer adds a candidate; Choice returns the index if it is the best.
+// Offer adds a candidate; Choice returns the index if it is the best. The result doesn't depend
+// on the order in which candidates are offered.
 func (b *Best) Offer(index int, c Candidate) {
-	b.draw = b.draw*6364136223846793005 + 1442695040888963407
-	score := b.policy(c) + drawLoad*float64(b.draw>>40)/(1<<24)
-	if score < b.score {
+	score := b.policy(c) + drawLoad*fraction(b.draw+uint64(index)*indexStep)
+	if score < b.score || score == b.score && index < b.index {
 		b.index, b.score = index, score
 	}
 }
 
+// indexStep separates the draws of neighbouring indices, as the increment of SplitMix64 does.
+const indexStep = 0x9e3779b97f4a7c15
+
+// fraction returns a number from 0 to 1 that is spread evenly over different arguments, by the
+// finalizer of SplitMix64.
+func fraction(x uint64) float64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64((x^x>>31)>>11) / (1 << 53)
+}
+
+// Decided reports whether the choice is better than any candidate whose score is at least so
+// high.
+func (b *Best) Decided(least float64) bool { return b.score < least }
+
 // Choice returns the index of the best candidate, and false if there was none.
 func (b *Best) Choice() (int, bool) { return b.index, b.index >= 0 }
