--- a/cmd/weirctl/cmds/emulate.go
+++ b/cmd/weirctl/cmds/emulate.go
@@ -28,8 +28,9 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.Uint64Flag{Name: "runs", Value: 1, Usage: "number of consecutive seeds to run"},
-			&cli.StringSliceFlag{Name: "design", Value: []string{string(emulation.Product)}, Usage: "design that places flows; repeat the flag to compare several: " + designNames()},
-			&cli.StringFlag{Name: "off", Usage: "mechanisms to switch off, separated by commas: " + mechanism.Names()},
+			&cli.StringSliceFlag{Name: "design", Usage: "design that places flows, instead of that of the day; repeat the flag to compare several: " + designNames()},
+			&cli.StringFlag{Name: "off", Usage: "mechanisms to switch off instead of those of the day, separated by commas: " + mechanism.Names()},
+			&cli.FloatFlag{Name: "part", Usage: "part of the instances for which design and off hold, above 0 and up to 1"},
 			&cli.BoolFlag{Name: "drawn", Usage: "draw each run's faults from its seed instead of taking those of the day"},
 			&cli.BoolFlag{Name: "shrink", Usage: "remove faults for as long as a promise stays broken, and print the remaining ones"},
 			&cli.StringFlag{Name: "html", Usage: "file to write a report with plots to"},
@@ -40,13 +41,7 @@
 	}
 }
 
-func designNames() string {
-	var names []string
-	for _, d := range emulation.Designs() {
-		names = append(names, string(d))
-	}
-	return strings.Join(names, ", ")
-}
+func designNames() string { return strings.Join(day.DesignNames(), ", ") }
 
 // emulationRun is one invocation of the command, which may run several seeds and
 // designs.
@@ -54,7 +49,6 @@
 	command *cli.Command
 	file    string
 	day     day.Day
-	off     mechanism.Set
 	results []emulation.Result
 }
 
@@ -73,11 +67,11 @@
 	if err != nil {
 		return err
 	}
-	off, err := mechanism.Parse(c.String("off"))
+	p, err := policyOf(c, d.Policy)
 	if err != nil {
-		return errors.Wrapf(tree.ErrUsage, "off: %v", err)
+		return err
 	}
-	e := &emulationRun{command: c, file: c.Args().First(), day: d, off: off}
+	e := &emulationRun{command: c, file: c.Args().First(), day: d.WithPolicy(p)}
 	for n := range c.Uint64("runs") {
 		if err := e.runSeed(c.Uint64("seed") + n); err != nil {
 			return err
@@ -86,6 +80,37 @@
 	return e.writeReports()
 }
 
+// policyOf returns the policy of a day with what the flags replace.
+func policyOf(c *cli.Command, p day.Policy) (day.Policy, error) {
+	if c.IsSet("off") {
+		off, err := mechanism.Parse(c.String("off"))
+		if err != nil {
+			return p, errors.Wrapf(tree.ErrUsage, "off: %v", err)
+		}
+		p.Off = off
+	}
+	if c.IsSet("part") {
+		p.Part = c.Float("part")
+		if p.Part <= 0 || p.Part > 1 {
+			return p, errors.Wrapf(tree.ErrUsage, "part: %v isn't above 0 and up to 1", p.Part)
+		}
+	}
+	return p, nil
+}
+
+// designs returns the designs to run the day with.
+func (e *emulationRun) designs() []day.Design {
+	names := e.command.StringSlice("design")
+	if len(names) == 0 {
+		return []day.Design{e.day.Policy.Design}
+	}
+	var designs []day.Design
+	for _, name := range names {
+		designs = append(designs, day.Design(name))
+	}
+	return designs
+}
+
 func printKinds(c *cli.Command) error {
 	r := rows{head: []string{"Kind", "Meaning"}}
 	for _, m := range day.DescribeKinds() {
@@ -100,15 +125,17 @@
 	if e.command.Bool("drawn") {
 		d = d.WithFaults(day.DrawFaults(d, seed))
 	}
-	for _, design := range e.command.StringSlice("design") {
-		r, err := e.run(d, emulation.Options{Seed: seed, Design: emulation.Design(design), Platform: emulated.Platform{}, Off: e.off})
+	for _, design := range e.designs() {
+		p := d.Policy
+		p.Design = design
+		r, err := e.run(d, emulation.Options{Seed: seed, Policy: p, Platform: emulated.Platform{}})
 		if err != nil {
 			return err
 		}
 		e.results = append(e.results, r)
 		e.printResult(r)
 		if r.Broken > 0 && e.command.Bool("shrink") {
-			if err := e.shrink(d, seed, r.Design); err != nil {
+			if err := e.shrink(d, seed, p); err != nil {
 				return err
 			}
 		}
@@ -117,8 +144,8 @@
 }
 
 func (e *emulationRun) run(d day.Day, o emulation.Options) (_ emulation.Result, err error) {
-	if !emulation.KnownDesign(o.Design) {
-		return emulation.Result{}, errors.Wrapf(tree.ErrUsage, "design %q isn't one of %s", o.Design, designNames())
+	if !o.Policy.Design.Known() {
+		return emulation.Result{}, errors.Wrapf(tree.ErrUsage, "design %q isn't one of %s", o.Policy.Design, designNames())
 	}
 	name := e.command.String("log")
 	if name == "" {
@@ -164,9 +191,9 @@
 
 // shrink removes faults from the day for as long as a promise stays broken, and
 // prints the sections of the remaining ones.
-func (e *emulationRun) shrink(d day.Day, seed uint64, design emulation.Design) error {
+func (e *emulationRun) shrink(d day.Day, seed uint64, p day.Policy) error {
 	out := e.command.Root().Writer
-	shrunk, err := emulation.Shrink(d, emulation.Options{Seed: seed, Design: design, Platform: emulated.Platform{}, Off: e.off}, func(message string) {
+	shrunk, err := emulation.Shrink(d, emulation.Options{Seed: seed, Policy: p, Platform: emulated.Platform{}}, func(message string) {
 		fmt.Fprintln(out, "  Shrink:", message)
 	})
 	if err != nil {
--- a/cmd/weirctl/cmds/experiment.go
+++ b/cmd/weirctl/cmds/experiment.go
@@ -154,7 +154,7 @@
 	if p.drawn {
 		d = d.WithFaults(day.DrawFaults(d, seed))
 	}
-	r, err := emulation.Run(d, emulation.Options{Seed: seed, Platform: emulated.Platform{}, Off: c.Off})
+	r, err := emulation.Run(d, emulation.Options{Seed: seed, Platform: emulated.Platform{}, Policy: c.Policy})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/emulation/day/day.go
+++ b/pkg/emulation/day/day.go
@@ -42,6 +42,8 @@
 	Services    []Service
 	Classes     []Class
 	Faults      []Fault
+	// Policy says how instances decide.
+	Policy Policy
 }
 
 // WithFaults returns a copy of the day with these faults in place of its own. It
@@ -51,6 +53,12 @@
 	return d
 }
 
+// WithPolicy returns the day with another policy.
+func (d Day) WithPolicy(p Policy) Day {
+	d.Policy = p
+	return d
+}
+
 // Bounds are the limits within which the emulator's promises must hold.
 type Bounds struct {
 	// Stable is how long an instance and the store must have been free of faults
--- a/pkg/emulation/day/load.go
+++ b/pkg/emulation/day/load.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
 
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -190,6 +191,7 @@
 			GigabyteBetween: r.number("Prices", "GigabyteBetween", "5100"),
 		},
 	}
+	d.Policy = r.policy()
 	for _, name := range r.sectionNames("DataCentre") {
 		d.DataCentres = append(d.DataCentres, r.dataCentre(name))
 	}
@@ -205,6 +207,20 @@
 	return d
 }
 
+func (r *reader) policy() Policy {
+	const s = "Policy"
+	p := Policy{Design: Design(r.choice(s, "Design", string(Product), DesignNames()...)), Part: r.number(s, "Part", "1")}
+	text := r.value(s, "Off", "")
+	var err error
+	if p.Off, err = mechanism.Parse(text); err != nil {
+		r.addProblem(s, "Off", text, mechanism.Names())
+	}
+	if p.Part == 0 || p.Part > 1 {
+		r.addProblem(s, "Part", r.value(s, "Part", ""), "a number above 0 and up to 1")
+	}
+	return p
+}
+
 func (r *reader) bounds() Bounds {
 	const s = "Bounds"
 	return Bounds{
--- a/pkg/emulation/days_test.go
+++ b/pkg/emulation/days_test.go
@@ -141,7 +141,7 @@
 			t.Parallel()
 			d := load(t, name)
 			product := runDay(t, d, emulation.Options{Seed: 1})
-			limit := runDay(t, d, emulation.Options{Seed: 1, Design: emulation.FullKnowledge})
+			limit := runDay(t, d, emulation.Options{Seed: 1, Policy: day.Policy{Design: day.FullKnowledge}})
 			if product.All.Benefit() < limit.All.Benefit()-maxShortfall {
 				t.Errorf("benefit %.4f, with full knowledge %.4f", product.All.Benefit(), limit.All.Benefit())
 			}
--- a/pkg/emulation/emulation.go
+++ b/pkg/emulation/emulation.go
@@ -20,19 +20,17 @@
 	"fmt"
 	"io"
 
-	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
 )
 
 // Options choose how a day is run.
 type Options struct {
 	Seed     uint64
-	Design   Design
 	Platform Platform
+	// Policy replaces that of the day; the zero value leaves it as it is.
+	Policy day.Policy
 	// WithoutAdmission lets instances admit all new flows.
 	WithoutAdmission bool
-	// Off are mechanisms that are switched off at all instances.
-	Off mechanism.Set
 	// Log receives the logs of all instances as JSON lines; nil discards them.
 	Log io.Writer
 }
@@ -42,7 +40,7 @@
 type Result struct {
 	Day    string
 	Seed   uint64
-	Design Design
+	Design day.Design
 	// Worth is the weighted benefit of the day, less its prices.
 	Worth float64
 	// WorstWindows is the mean benefit of the two worst windows of 2 s.
@@ -68,8 +66,11 @@
 // budget has passed. It fails if an instance can't start, a configuration can't be
 // encoded, or a fault has an unknown kind.
 func Run(d day.Day, o Options) (Result, error) {
-	if o.Design == "" {
-		o.Design = Product
+	if o.Policy == (day.Policy{}) {
+		o.Policy = d.Policy
+	}
+	if o.Policy.Design == "" {
+		o.Policy.Design = day.Product
 	}
 	w := newWorld(d, o)
 	w.run()
@@ -82,7 +83,7 @@
 func (w *world) result() Result {
 	t := w.tally
 	r := Result{
-		Day: w.day.Name, Seed: w.seed, Design: w.design, WorstWindows: t.worstWindowsBenefit(), All: t.total.withQuantiles(),
+		Day: w.day.Name, Seed: w.seed, Design: w.policy.Design, WorstWindows: t.worstWindowsBenefit(), All: t.total.withQuantiles(),
 		StoreCalls: w.store.callCount, BusiestWrites: w.store.busiestWrites, BytesBetween: w.network.bytesBetweenCentres, Faults: w.injectedFaults,
 		Broken: w.checker.breachCount, Breaches: w.checker.breaches,
 	}
--- a/pkg/emulation/experiment/experiment.go
+++ b/pkg/emulation/experiment/experiment.go
@@ -3,8 +3,11 @@
 //
 // An experiment is an INI file: the section [Experiment] has the key Days, files of emulated days
 // relative to the experiment's own; Seeds, as "1-5" or "1, 4, 9"; and Drawn, "On" to draw each
-// run's faults from its seed. Each section [Cell NAME] has the key Off, the mechanisms that are
-// switched off in it; the first cell is the one that others are compared with.
+// run's faults from its seed. Each section [Cell NAME] has the keys Off, the mechanisms that are
+// switched off in it; Design, the design that places flows; and Part, the part of the instances
+// for which both hold. The first cell is the one that others are compared with. With Each = On,
+// there is a further cell for each mechanism that the first one has on, without it, and with
+// Pairs = On one for each two of them.
 //
 // # Usage
 //
@@ -19,6 +22,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -26,6 +30,7 @@
 	"gopkg.in/ini.v1"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
+	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 )
 
@@ -38,10 +43,10 @@
 	Cells []Cell
 }
 
-// Cell is one set of mechanisms that are switched off.
+// Cell is one policy with which the days are played.
 type Cell struct {
-	Name string
-	Off  mechanism.Set
+	Name   string
+	Policy day.Policy
 }
 
 const (
@@ -78,8 +83,9 @@
 
 // parser collects the problems of a file.
 type parser struct {
-	experiment Experiment
-	problems   []string
+	experiment  Experiment
+	each, pairs bool
+	problems    []string
 }
 
 // Parse reads and checks an experiment from memory; the paths of days stay as they are. An error
@@ -100,6 +106,7 @@
 			p.addProblem(s, "", "", "no such section")
 		}
 	}
+	p.addCells()
 	e := p.experiment
 	if len(e.Days) == 0 {
 		p.problems = append(p.problems, "["+section+"] Days: no file of an emulated day is named")
@@ -133,10 +140,11 @@
 		case "Seeds":
 			p.experiment.Seeds, err = parseSeeds(k.Value())
 		case "Drawn":
-			if k.Value() != "On" && k.Value() != "Off" {
-				err = errors.New("allowed: On or Off")
-			}
-			p.experiment.Drawn = k.Value() == "On"
+			p.experiment.Drawn, err = parseSwitch(k.Value())
+		case "Each":
+			p.each, err = parseSwitch(k.Value())
+		case "Pairs":
+			p.pairs, err = parseSwitch(k.Value())
 		default:
 			err = errors.New("no such key")
 		}
@@ -146,22 +154,85 @@
 	}
 }
 
+func parseSwitch(text string) (bool, error) {
+	if text != "On" && text != "Off" {
+		return false, errors.New("allowed: On or Off")
+	}
+	return text == "On", nil
+}
+
 func (p *parser) readCell(s *ini.Section) {
 	c := Cell{Name: strings.TrimSpace(strings.TrimPrefix(s.Name(), cellPrefix))}
+	if p.known(c.Name) {
+		p.addProblem(s, "", "", "there is a cell of that name already")
+	}
 	for _, k := range s.Keys() {
-		if k.Name() != "Off" {
-			p.addProblem(s, k.Name(), k.Value(), "no such key")
-			continue
+		var err error
+		switch k.Name() {
+		case "Off":
+			c.Policy.Off, err = mechanism.Parse(k.Value())
+		case "Design":
+			c.Policy.Design = day.Design(k.Value())
+			if !c.Policy.Design.Known() {
+				err = errors.Errorf("allowed: %s", strings.Join(day.DesignNames(), ", "))
+			}
+		case "Part":
+			c.Policy.Part, err = strconv.ParseFloat(k.Value(), 64)
+			if err != nil || c.Policy.Part <= 0 || c.Policy.Part > 1 {
+				err = errors.New("allowed: a number above 0 and up to 1")
+			}
+		default:
+			err = errors.New("no such key")
 		}
-		off, err := mechanism.Parse(k.Value())
 		if err != nil {
 			p.addProblem(s, k.Name(), k.Value(), err.Error())
 		}
-		c.Off = off
 	}
 	p.experiment.Cells = append(p.experiment.Cells, c)
 }
 
+func (p *parser) known(cell string) bool {
+	return slices.ContainsFunc(p.experiment.Cells, func(c Cell) bool { return c.Name == cell })
+}
+
+// addCells adds the cells without each mechanism, and without each two, as Each and Pairs say.
+// Cells of the file that have such a name hold instead.
+func (p *parser) addCells() {
+	if len(p.experiment.Cells) == 0 || !p.each && !p.pairs {
+		return
+	}
+	first := p.experiment.Cells[0].Policy
+	add := func(off ...mechanism.Mechanism) {
+		c := Cell{Policy: first}
+		for _, m := range off {
+			if c.Name != "" {
+				c.Name += "+"
+			}
+			c.Name += m.String()
+			c.Policy.Off = c.Policy.Off.With(m)
+		}
+		if !p.known(c.Name) {
+			p.experiment.Cells = append(p.experiment.Cells, c)
+		}
+	}
+	var on []mechanism.Mechanism
+	for _, m := range mechanism.All() {
+		if !first.Off.Has(m) {
+			on = append(on, m)
+		}
+	}
+	for i, m := range on {
+		if p.each {
+			add(m)
+		}
+		for _, other := range on[i+1:] {
+			if p.pairs {
+				add(m, other)
+			}
+		}
+	}
+}
+
 func splitList(text string) []string {
 	var list []string
 	for part := range strings.SplitSeq(text, ",") {
--- a/pkg/emulation/experiment/experiment_test.go
+++ b/pkg/emulation/experiment/experiment_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
+	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/experiment"
 	"github.com/tanagerweir/tanagerweir/pkg/process/settings"
 )
@@ -23,7 +24,7 @@
 	got, err := experiment.Parse([]byte(valid))
 	want := experiment.Experiment{
 		Days: []string{"a.ini", "b.ini"}, Seeds: []uint64{1, 2, 3, 9}, Drawn: true,
-		Cells: []experiment.Cell{{Name: "All"}, {Name: "Ring", Off: mechanism.Set(0).With(mechanism.ServerRing)}},
+		Cells: []experiment.Cell{{Name: "All"}, {Name: "Ring", Policy: day.Policy{Off: mechanism.Set(0).With(mechanism.ServerRing)}}},
 	}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
 		t.Error(err, d)
@@ -53,6 +54,36 @@
 	}
 }
 
+// Guards against cells that say in one name what another one plays.
+func TestCellsHaveAPolicyAndAreAdded(t *testing.T) {
+	off := mechanism.Names()
+	off = off[strings.Index(off, ", ")+2:] // all but the first
+	off = off[strings.Index(off, ", ")+2:] // all but two
+	e, err := experiment.Parse([]byte("[Experiment]\nDays = a.ini\nSeeds = 1\nEach = On\nPairs = On\n" +
+		"[Cell All]\nOff = " + off + "\n[Cell Mixed]\nOff = ServerRing\nDesign = Anywhere\nPart = 0.5\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, c := range e.Cells {
+		names = append(names, c.Name)
+	}
+	if d := cmp.Diff([]string{"All", "Mixed", "CrowdOnset", "CrowdOnset+ClassOrder", "ClassOrder"}, names); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(day.Policy{Off: mechanism.Set(0).With(mechanism.ServerRing), Design: day.Anywhere, Part: 0.5}, e.Cells[1].Policy); d != "" {
+		t.Error(d)
+	}
+	if p := e.Cells[3].Policy; !p.Off.Has(mechanism.CrowdOnset) || !p.Off.Has(mechanism.ClassOrder) || !p.Off.Has(mechanism.ServerRing) {
+		t.Errorf("%+v", p)
+	}
+	_, err = experiment.Parse([]byte("[Experiment]\nDays = a.ini\nSeeds = 1\nPairs = yes\n[Cell All]\nDesign = Best\nPart = 2\n[Cell All ]\n"))
+	var problems *settings.ProblemsError
+	if !errors.As(err, &problems) || len(problems.List) != 4 {
+		t.Errorf("%v", err)
+	}
+}
+
 // Guards against days that are looked for where the command runs.
 func TestDaysAreRelativeToTheFile(t *testing.T) {
 	e, err := experiment.Load(filepath.Join("testdata", "ring.ini"))
@@ -65,10 +96,10 @@
 func planted(_ context.Context, _ string, seed uint64, c experiment.Cell) (map[string]float64, error) {
 	noise := float64(seed*2654435761%97) / 9700
 	worth := 0.9 + noise
-	if c.Off.Has(mechanism.ServerRing) {
+	if c.Policy.Off.Has(mechanism.ServerRing) {
 		worth -= 0.02 + noise/10
 	}
-	if c.Off.Has(mechanism.MeanLoads) {
+	if c.Policy.Off.Has(mechanism.MeanLoads) {
 		worth += (float64(seed%2) - 0.5) / 1000
 	}
 	return map[string]float64{"Worth": worth}, nil
@@ -78,7 +109,7 @@
 	return experiment.Experiment{
 		Days: []string{"day"}, Seeds: []uint64{1, 2, 3, 4, 5, 6, 7, 8},
 		Cells: []experiment.Cell{
-			{Name: "All"}, {Name: "Ring", Off: mechanism.Set(0).With(mechanism.ServerRing)}, {Name: "Mean", Off: mechanism.Set(0).With(mechanism.MeanLoads)},
+			{Name: "All"}, {Name: "Ring", Policy: day.Policy{Off: mechanism.Set(0).With(mechanism.ServerRing)}}, {Name: "Mean", Policy: day.Policy{Off: mechanism.Set(0).With(mechanism.MeanLoads)}},
 		},
 	}
 }
--- a/pkg/emulation/instance.go
+++ b/pkg/emulation/instance.go
@@ -21,6 +21,8 @@
 	world                        *world
 	packetEndpoint, peerEndpoint netip.AddrPort
 	cores                        float64
+	// number is its place within its data centre, from 0 on.
+	number int
 	// deployed says that the instance is part of the deployment, and running that
 	// its process runs. boot numbers the starts of the process; work of an earlier
 	// boot is discarded.
--- a/pkg/emulation/world.go
+++ b/pkg/emulation/world.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
-	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/day"
 	"github.com/tanagerweir/tanagerweir/pkg/emulation/timeline"
@@ -51,11 +50,10 @@
 type world struct {
 	day      day.Day
 	seed     uint64
-	design   Design
+	policy   day.Policy
 	platform Platform
 	// withoutAdmission lets instances admit all new flows.
 	withoutAdmission bool
-	off              mechanism.Set
 	log              io.Writer
 	clock            *timeline.Timeline
 	random           *rand.Rand
@@ -101,7 +99,7 @@
 
 func newWorld(d day.Day, o Options) *world {
 	w := &world{
-		day: d, seed: o.Seed, design: o.Design, platform: o.Platform, log: o.Log, withoutAdmission: o.WithoutAdmission, off: o.Off, clock: timeline.New(),
+		day: d, seed: o.Seed, policy: o.Policy, platform: o.Platform, log: o.Log, withoutAdmission: o.WithoutAdmission, clock: timeline.New(),
 		byPeerAddress: make(map[netip.AddrPort]*instance), byEndpoint: make(map[netip.AddrPort]*server), byID: make(map[string]*server),
 		routes: make(map[string]netip.AddrPort), openingsSent: make(map[instanceAndServer]int),
 	}
@@ -150,7 +148,7 @@
 	i := &instance{
 		node:  node{role: instanceRole, name: fmt.Sprintf("%s-entry-%d", c.Name, number+1), centre: c.Name, disturbedUntil: beforeDay, bytesPerSecond: c.Megabits * 1e6 / 8},
 		world: w, packetEndpoint: netip.AddrPortFrom(ip, packetPort), peerEndpoint: netip.AddrPortFrom(ip, peerPort), cores: c.Cores,
-		deployed: deployed, failedProbes: maxFailedProbes,
+		number: number, deployed: deployed, failedProbes: maxFailedProbes,
 	}
 	w.instances = append(w.instances, i)
 	w.byPeerAddress[i.peerEndpoint] = i
@@ -201,8 +199,9 @@
 	o.Seed = w.seed<<16 + uint64(slices.Index(w.instances, i))<<8 + uint64(i.boot)
 	o.LinkBytesPerSecond = i.bytesPerSecond
 	o.Health.Enabled = w.day.Health
-	o.Off = w.off
-	o.Policy = w.design.policyFor(w, i)
+	if w.policy.Holds(i.number) {
+		o.Off, o.Policy = w.policy.Off, w.placementOf(w.policy.Design, i)
+	}
 	o.Logger = w.logger(i)
 	if !w.withoutAdmission {
 		o.Admission = &admission.Options{Epoch: i.startedAt}
