Tell answers that came another way from signs that a data centre is back

Nothing was logged when an answer ended the loss of a data centre.

While a data centre is out of reach, only an answer within 180 ms of what this instance sent after the loss counts, before callers send copies, and of other instances only signs from after the loss; one from shortly before keeps flows from being given up, as it did. Each end of a loss is logged with its server.

Both new tests were red before.

--- a/pkg/connection/forwarding/inquiry.go
+++ b/pkg/connection/forwarding/inquiry.go
@@ -120,6 +120,19 @@
 	return loads
 }
 
+// receiveSign applies when another instance last saw a sign of life of a server in a data centre
+// out of reach. One from before the data centre was lost may be from before the way there was
+// cut, so it only keeps flows there from being given up.
+func (c *Core) receiveSign(now, sign time.Duration, r *reach, v *server) {
+	switch {
+	case sign > r.lostAt:
+		c.reachEvents = append(c.reachEvents, ReachEvent{DataCentre: v.DataCentre, Server: v.ID, SilentFor: now - max(r.lastSign, r.lastMessage)})
+		r.recordSign(sign)
+	case sign > r.lastSign && now-sign < lostAfter:
+		r.contradictedAt = now
+	}
+}
+
 // ReceiveAnswer applies the answer of another instance, of the own data centre or
 // another one, to an inquiry.
 func (c *Core) ReceiveAnswer(now time.Duration, loads []Load, ownDataCentre bool) {
@@ -132,8 +145,8 @@
 		}
 		v.observed.inquiry.lastAlive = max(v.observed.inquiry.lastAlive, now-l.AliveAge)
 		r := c.reachOf(v.DataCentre)
-		if sign := now - l.AliveAge; ownDataCentre && r.lost && sign > r.lastSign && now-sign < lostAfter {
-			r.recordSign(sign)
+		if ownDataCentre && r.lost {
+			c.receiveSign(now, now-l.AliveAge, r, v)
 		}
 		if ownDataCentre {
 			v.observed.inquiry.answered++
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -286,9 +286,12 @@
 		c.established(now, s, f, v)
 	}
 	var events requestEvents
-	waiting := f.waiting
+	waiting, sent := f.waiting, time.Duration(0)
+	if waiting {
+		sent = f.lastSent
+	}
 	if f.acknowledge(s) {
-		c.signOfLife(now, v)
+		c.signOfLife(now, sent, v)
 		c.recordRun(now, v, f.openSince)
 		if events.answered, events.waited = waiting, now-f.lastSent; waiting {
 			v.observed.recordAnswerTime(f.lastSent, events.waited)
@@ -325,7 +328,11 @@
 	if c.firstOpened == 0 {
 		c.firstOpened = now
 	}
-	c.signOfLife(now, v)
+	sent := time.Duration(0)
+	if f.tried(v) {
+		sent = f.lastSent
+	}
+	c.signOfLife(now, sent, v)
 	c.recordRun(now, v, now)
 	if c.admission != nil && !f.failureCounted {
 		c.admission.Opened(v.Service, now-f.lastSent)
--- a/pkg/connection/forwarding/reach.go
+++ b/pkg/connection/forwarding/reach.go
@@ -55,6 +55,9 @@
 	// how many of them, and answered how many of these answered.
 	askedAt         time.Duration
 	asked, answered int
+	// contradictedAt is when another instance last told of a sign of life from shortly before the
+	// data centre was lost, 0 for never.
+	contradictedAt time.Duration
 }
 
 // othersReach is what other instances report of the servers of one data centre.
@@ -95,7 +98,7 @@
 	case r.failures > 0 && r.failures+r.others.failures >= lostFailures && (r.servers[1] != nil || r.others.servers > 1) &&
 		now-max(r.lastSign, r.others.lastSign, r.lastMessage) >= lostAfter:
 		r.lost, r.lostAt, r.nextTrial = true, now, now+reachTrialPeriod
-		r.askedAt, r.asked, r.answered = 0, 0, 0
+		r.askedAt, r.asked, r.answered, r.contradictedAt = 0, 0, 0, 0
 	}
 }
 
@@ -105,6 +108,9 @@
 	if !r.lost || peers == 0 {
 		return r.lost
 	}
+	if r.contradictedAt > 0 && now-r.contradictedAt < lostAfter {
+		return false
+	}
 	return enough(now, r.askedAt, r.asked, r.answered)
 }
 
@@ -118,10 +124,24 @@
 	return r
 }
 
-// signOfLife records that a backend server answered.
-func (c *Core) signOfLife(now time.Duration, v *server) {
+// beforeCopies is less than the 200 ms after which callers send packets again. What is answered
+// by then was answered to this instance.
+const beforeCopies = 180 * time.Millisecond
+
+// signOfLife records that a backend server answered what this instance sent it at a time, 0 if
+// that isn't known. While the server's data centre is out of reach, callers' copies may have gone
+// another way, through an instance of another data centre, so that only an answer from before any
+// copy shows that it is within reach again.
+func (c *Core) signOfLife(now, sent time.Duration, v *server) {
+	r := c.reachOf(v.DataCentre)
+	if r.lost {
+		if sent < r.lostAt || now-sent > beforeCopies {
+			return
+		}
+		c.reachEvents = append(c.reachEvents, ReachEvent{DataCentre: v.DataCentre, Server: v.ID, SilentFor: now - max(r.lastSign, r.lastMessage)})
+	}
 	v.observed.recordAnswer(now)
-	c.reachOf(v.DataCentre).recordSign(now)
+	r.recordSign(now)
 	c.lastAnswer = now
 }
 
@@ -256,6 +276,9 @@
 	// ago the last sign of the data centre was.
 	Failures  int
 	SilentFor time.Duration
+	// Server is the backend server whose answer showed that the data centre is within reach
+	// again, empty if a message of another data centre's instance did.
+	Server string
 }
 
 // ReachEvents returns the changes since the last call, oldest first.
--- a/pkg/connection/forwarding/reach_test.go
+++ b/pkg/connection/forwarding/reach_test.go
@@ -68,6 +68,65 @@
 	}
 }
 
+// Guards against instances of a cut data centre that turn ready and not ready by turns: while
+// routers lead callers elsewhere, their copies are answered through instances there, and callers
+// acknowledge these answers here.
+func TestAnswersThatCameAnotherWayLeaveTheDataCentreOutOfReach(t *testing.T) {
+	c, now := takenOut(t)
+	p, _ := opened(t, c, now, feedRoute)
+	c.Decide(now+time.Millisecond, p.request())
+	c.Decide(now+2*time.Millisecond, p.acknowledge())
+	c.Decide(now+3*time.Millisecond, p.request())
+	now += 4 * time.Millisecond
+	for c.Served() {
+		now, _ = passTime(t, c, now, now+tick, nobody)
+	}
+	c.Decide(now, p.acknowledge())
+	c.Tick(now+tick, maxFlow)
+	if c.Served() {
+		t.Error("served because of an answer to a request from before")
+	}
+	request := p.request()
+	now += 2 * tick
+	c.Decide(now, request)
+	c.Decide(now+firstCopy, request)
+	c.Decide(now+firstCopy+10*time.Millisecond, p.acknowledge())
+	c.Tick(now+3*tick, maxFlow)
+	if c.Served() {
+		t.Error("served because of an answer to a copy")
+	}
+	now += 4 * tick
+	c.Decide(now, p.request())
+	c.Decide(now+50*time.Millisecond, p.acknowledge())
+	c.Tick(now+tick, maxFlow)
+	if !c.Served() {
+		t.Error("not served although a request was answered at once")
+	}
+	if events := c.ReachEvents(); len(events) != 2 || events[1].Lost || events[1].Server == "" {
+		t.Errorf("events %+v", events)
+	}
+}
+
+// Guards against the same by way of what other instances saw before the cut.
+func TestSignsFromBeforeTheLossLeaveTheDataCentreOutOfReach(t *testing.T) {
+	c, now := takenOut(t)
+	_, d := opened(t, c, now, feedRoute)
+	for c.Served() {
+		now, _ = passTime(t, c, now, now+tick, nobody)
+	}
+	lost := now
+	for _, test := range []struct {
+		age  time.Duration
+		want bool
+	}{{time.Minute, false}, {400 * time.Millisecond, false}, {10 * time.Millisecond, true}} {
+		c.ReceiveAnswer(lost+tick, []forwarding.Load{{Mark: d.Mark, AliveAge: test.age}}, true)
+		c.Tick(lost+tick, maxFlow)
+		if c.Served() != test.want {
+			t.Errorf("sign of life %v ago: served %v", test.age, c.Served())
+		}
+	}
+}
+
 // A fleet must never stay out of rotation for want of anybody to hear from.
 func TestCallersAreLetInAgainAfterAWhile(t *testing.T) {
 	c, now := takenOut(t)
--- a/pkg/process/entry/observer.go
+++ b/pkg/process/entry/observer.go
@@ -109,7 +109,7 @@
 		if e.Lost {
 			message = "DataCentre: its servers are out of reach."
 		}
-		o.log.InfoContext(logs.Always(), message, "DataCentre", e.DataCentre, "Failures", e.Failures, "SilentFor", e.SilentFor)
+		o.log.InfoContext(logs.Always(), message, "DataCentre", e.DataCentre, "Failures", e.Failures, "SilentFor", e.SilentFor, "Server", e.Server)
 	}
 }
 
