Search by rank on rings only, and keep the draws of small fleets

Cause: the search by rank draws by server instead of by the order of the search.

Fleets without a ring, with fewer than 8 instances in a data centre, search all servers as before, with the draws of before; there all servers of the own data centre can be the best, so that little was won. Played crowds have the draws of before too. The choices stay compared with the earlier search for both.

--- a/pkg/connection/forwarding/export_test.go
+++ b/pkg/connection/forwarding/export_test.go
@@ -65,7 +65,11 @@
 	} {
 		best := placement.NewBest(c.draw, c.policy())
 		for i, v := range servers {
-			if accept(v) {
+			switch {
+			case !accept(v):
+			case c.affinity:
+				best.OfferInAnyOrder(i, c.candidate(now, v))
+			default:
 				best.Offer(i, c.candidate(now, v))
 			}
 		}
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -22,50 +22,64 @@
 
 // place chooses the backend server of a new flow, of which that many copies of the
 // opening packet were sent before, nil if there is none. It takes the best server of the
-// first class that has any. The search goes from the servers that can have the lowest score on,
-// and ends where none of the others can be better: with 3,800 servers in a service a search
-// through all of them takes 0.6 ms.
+// first class that has any.
 func (c *Core) place(now time.Duration, r directory.Route, f *flow, copies int) *server {
 	service := serviceOf(r, f.key)
-	p, reserve := placing{flow: f, copies: copies, trial: c.health.allowsTrial(now, service, r)}, c.health.reserves(service, r)
+	p := placing{flow: f, route: r, copies: copies, trial: c.health.allowsTrial(now, service, r), reserve: c.health.reserves(service, r)}
 	servers := c.servers.byService[service]
 	c.draw++
-	best := [placementClasses]placement.Best{}
-	for class := range best {
-		best[class] = placement.NewBest(c.draw, c.policy())
+	for class := range p.best {
+		p.best[class] = placement.NewBest(c.draw, c.policy())
 	}
-	for _, g := range c.servers.ranks[service] {
-		for _, k := range g.ranks {
-			if best[untried].Decided(k.least + g.common - scoreError) {
-				break
-			}
-			if class := c.placementClass(now, p, k.server); class < placementClasses {
-				best[class].Offer(k.index, c.weighHealth(c.candidate(now, k.server), r, reserve, k.server))
+	if c.affinity {
+		c.searchRanks(now, &p, c.servers.ranks[service])
+	} else {
+		for i, v := range servers {
+			if class := c.placementClass(now, &p, v); class < placementClasses {
+				p.best[class].Offer(i, c.weighHealth(c.candidate(now, v), r, p.reserve, v))
 			}
 		}
 	}
-	for class := range best {
-		if i, ok := best[class].Choice(); ok {
+	for class := range p.best {
+		if i, ok := p.best[class].Choice(); ok {
 			return servers[i]
 		}
 	}
 	return nil
 }
 
+// searchRanks offers servers from those that can have the lowest score on, until none of the
+// others can be better: with 3,800 servers in a service a search through all of them takes 0.6 ms.
+// Without a ring all servers of the own data centre can have the same score.
+func (c *Core) searchRanks(now time.Duration, p *placing, groups []*centreServers) {
+	for _, g := range groups {
+		for _, k := range g.ranks {
+			if p.best[untried].Decided(k.least + g.common - scoreError) {
+				break
+			}
+			if class := c.placementClass(now, p, k.server); class < placementClasses {
+				p.best[class].OfferInAnyOrder(k.index, c.weighHealth(c.candidate(now, k.server), p.route, p.reserve, k.server))
+			}
+		}
+	}
+}
+
 // scoreError is more than the rounding error of a score.
 const scoreError = 1e-9
 
-// placing is a new flow for which a server is chosen.
+// placing is the search for the server of a new flow.
 type placing struct {
 	flow   *flow
+	route  directory.Route
 	copies int
-	// trial says that the flow may probe a server.
-	trial bool
+	// trial says that the flow may probe a server, and reserve that it rather goes to proven ones.
+	trial, reserve bool
+	best           [placementClasses]placement.Best
 }
 
 // placementClass returns the class of a backend server for a flow, placementClasses if it
 // may not get the flow.
-func (c *Core) placementClass(now time.Duration, p placing, v *server) int {
+func (c *Core) placementClass(now time.Duration, p *placing, v *server) int {
 	if !c.usable(now, v) {
 		return placementClasses
 	}
--- a/pkg/connection/placement/placement.go
+++ b/pkg/connection/placement/placement.go
@@ -100,10 +100,20 @@
 	return Best{policy: p, draw: draw, index: -1, score: math.Inf(1)}
 }
 
-// Offer adds a candidate; Choice returns the index if it is the best. The result doesn't depend
-// on the order in which candidates are offered.
+// Offer adds a candidate; Choice returns the index if it is the best.
 func (b *Best) Offer(index int, c Candidate) {
-	score := b.policy(c) + drawLoad*fraction(b.draw+uint64(index)*indexStep)
+	b.draw = b.draw*6364136223846793005 + 1442695040888963407
+	b.offer(index, b.policy(c)+drawLoad*float64(b.draw>>40)/(1<<24))
+}
+
+// OfferInAnyOrder is like Offer, but the result doesn't depend on the order in which candidates
+// are offered, nor on those that are left out as they can't be the best. A search uses one of both
+// methods.
+func (b *Best) OfferInAnyOrder(index int, c Candidate) {
+	b.offer(index, b.policy(c)+drawLoad*fraction(b.draw+uint64(index)*indexStep))
+}
+
+func (b *Best) offer(index int, score float64) {
 	if score < b.score || score == b.score && index < b.index {
 		b.index, b.score = index, score
 	}
