Replace the build of all instances in the soak

Cause: the soak changed builds at drawn faults only; nothing told how long a fleet takes to have one build, nor what callers lose meanwhile.

All promises of the soak are checked.

--- a/cmd/internal/soak/instance.go
+++ b/cmd/internal/soak/instance.go
@@ -24,6 +24,7 @@
 )
 
 const (
+	// instanceCount is the number of instances where the options name none.
 	instanceCount = 4
 	// probeInterval is the time between two readiness probes of the routers, and
 	// missLimit the number of failures in a row that takes an instance out of rotation.
@@ -42,6 +43,7 @@
 type instance struct {
 	harness    *harness
 	name       string
+	centre     string
 	packets    netip.AddrPort
 	ready      netip.AddrPort
 	settings   string
@@ -58,7 +60,7 @@
 }
 
 func newInstance(h *harness, n int, port uint16) (*instance, error) {
-	i := &instance{harness: h, name: fmt.Sprintf("entry-%d", n), packets: netip.AddrPortFrom(addressOf(n), port)}
+	i := &instance{harness: h, name: fmt.Sprintf("entry-%d", n), centre: centres[n%len(centres)], packets: netip.AddrPortFrom(addressOf(n), port)}
 	ready, err := freePort()
 	if err != nil {
 		return nil, err
@@ -73,7 +75,7 @@
 	i.ready = netip.AddrPortFrom(addressOf(n), ready)
 	i.settings = filepath.Join(h.directory, i.name+".toml")
 	text := standin.SettingsText(platform.Settings{
-		Name: i.name, DataCentre: centres[n%len(centres)], Packets: i.packets, Ready: i.ready,
+		Name: i.name, DataCentre: i.centre, Packets: i.packets, Ready: i.ready,
 		Peers: netip.AddrPortFrom(addressOf(n), peers), Heartbeat: time.Second, MemoryBytes: memoryBytes,
 		Store: platform.StoreSettings{Endpoint: i.proxy.endpoint()}, Bounds: standin.SampleBounds(),
 	})
@@ -178,11 +180,7 @@
 	client := &http.Client{Timeout: probeInterval}
 	misses := 0
 	for ctx.Err() == nil {
-		response, err := client.Get("http://" + i.ready.String() + platform.ReadyPath)
-		if err == nil {
-			_ = response.Body.Close() // it has no body
-		}
-		if err == nil && response.StatusCode == http.StatusOK {
+		if i.isReady(client) {
 			misses = 0
 			i.inRotation.Store(true)
 		} else if misses++; misses >= missLimit {
@@ -192,6 +190,16 @@
 	}
 }
 
+// isReady reports whether the instance answers that it is ready.
+func (i *instance) isReady(client *http.Client) bool {
+	response, err := client.Get("http://" + i.ready.String() + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close() // it has no body
+	return response.StatusCode == http.StatusOK
+}
+
 // instanceFor returns the instance to which the routers send a flow's packets, nil for
 // none: of those in rotation the one with the highest hash.
 func (h *harness) instanceFor(f segment.Flow) *instance {
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -55,6 +55,10 @@
 	Seed uint64
 	// For is how long faults are injected.
 	For time.Duration
+	// Replace replaces the build of all instances, one after the other, instead of drawing faults.
+	Replace bool
+	// Instances is the number of instances, 0 for 4.
+	Instances int
 	// LogDirectory is where the instances' logs are kept; if it is empty, they are
 	// removed after the run.
 	LogDirectory string
@@ -70,6 +74,8 @@
 	// Served and Asked count the requests of the whole run that were served and sent;
 	// opening a flow counts as a request, and the seasonal route isn't counted.
 	Served, Asked int
+	// ReplacedIn is the time until all instances had changed their build.
+	ReplacedIn time.Duration
 }
 
 // harness has the state of one run.
@@ -100,6 +106,9 @@
 // Run runs the instances with the faults of one seed. Broken promises are in the
 // report; an error means that the run itself failed.
 func Run(ctx context.Context, o Options) (Report, error) {
+	if o.Instances == 0 {
+		o.Instances = instanceCount
+	}
 	h := &harness{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), started: time.Now(),
 		removed: make(map[string]time.Time), report: Report{Seed: o.Seed},
@@ -138,7 +147,11 @@
 		return err
 	}
 	defer h.shutDown()
-	h.inject(ctx)
+	if h.options.Replace {
+		h.replace(ctx)
+	} else {
+		h.inject(ctx)
+	}
 	h.clearFaults()
 	wait(ctx, recoveryTime)
 	served, asked := h.callers.counts()
@@ -164,7 +177,7 @@
 		}
 	}
 	h.configure()
-	for n := range instanceCount {
+	for n := range h.options.Instances {
 		i, err := newInstance(h, n, port)
 		if err != nil {
 			return err
--- a/cmd/weirctl/cmds/soak.go
+++ b/cmd/weirctl/cmds/soak.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tanagerweir/tanagerweir/cmd/internal/soak"
+	"github.com/tanagerweir/tanagerweir/cmd/internal/tree"
 )
 
 // ErrPromiseBroken is returned if a promise was broken in a soak or an emulated day.
@@ -22,6 +23,8 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binary", Value: "target/tanagerweir", Usage: "program that runs an instance"},
 			&cli.StringFlag{Name: "previous", Usage: "program of an earlier build: instances start with it, and change to the other build at each restart"},
+			&cli.BoolFlag{Name: "replace", Usage: "replace the earlier build at one instance after the other, instead of drawing faults; half way some go back"},
+			&cli.IntFlag{Name: "instances", Value: 4, Usage: "number of instances"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.Uint64Flag{Name: "seeds", Value: 1, Usage: "number of consecutive seeds to run"},
 			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "how long faults are injected for each seed"},
@@ -32,16 +35,23 @@
 }
 
 func runSoak(ctx context.Context, c *cli.Command) error {
+	if c.Int("instances") < 1 || c.Bool("replace") && c.String("previous") == "" {
+		return errors.Wrap(tree.ErrUsage, "instances must be 1 or more, and replace needs the program of the earlier build")
+	}
 	broken := false
 	for n := range c.Uint64("seeds") {
 		r, err := soak.Run(ctx, soak.Options{
 			Binary: c.String("binary"), Previous: c.String("previous"), Seed: c.Uint64("seed") + n, For: c.Duration("for"), LogDirectory: c.String("logs"),
+			Replace: c.Bool("replace"), Instances: c.Int("instances"),
 		})
 		if err != nil {
 			return err
 		}
 		out := c.Root().Writer
 		fmt.Fprintf(out, "Seed %d: %d faults, %d of %d requests served, %d promises broken.\n", r.Seed, len(r.Faults), r.Served, r.Asked, len(r.Broken))
+		if r.ReplacedIn > 0 {
+			fmt.Fprintf(out, "All %d instances had the other build after %.1f s.\n", c.Int("instances"), r.ReplacedIn.Seconds())
+		}
 		if len(r.Broken) == 0 {
 			continue
 		}
