Send flows to data centres that report free servers, and admit what fits there

Cause: an instance knew nothing of what other data centres' servers have to do. In a crowd of one data centre a fifth of its callers were refused while two thirds of the servers of the others were idle: admission knew the own slots only, and flows left at two requests a slot more, whatever the others had.

Instances report to other data centres, in the messages that they send there anyway, how many requests a slot their own services have (8 bytes for each, at most eight services). Admission counts 0.7 of the free slots that others report, shared by the data centres that are short; flows leave at the reported load and one, at the latest as before. What was reported before the own slots were full, or until 0.3 s later, doesn't count. Older builds ignore the field, and without it all is as before.

On a ring flows left at one request more already, so that there admission alone changes.

--- a/pkg/connection/forwarding/admit.go
+++ b/pkg/connection/forwarding/admit.go
@@ -53,15 +53,16 @@
 		return
 	}
 	for name, servers := range c.servers.byService {
-		c.admission.SetLoad(name, c.loadOf(now, servers))
+		c.admission.SetLoad(name, c.loadOf(now, name, servers))
 	}
 	c.admission.Tick(now)
 }
 
 // loadOf returns the load of a service's servers. Loads of servers in other data centres are
 // only known in part, so these count only where the own data centre lacks servers that it
-// usually has: flows leave it then, and there is room elsewhere for its part of all.
-func (c *Core) loadOf(now time.Duration, servers []*server) admission.Load {
+// usually has: flows leave it then, and there is room elsewhere for its part of all. Where all
+// own slots are taken, there is also room in what other data centres report that they can spare.
+func (c *Core) loadOf(now time.Duration, service string, servers []*server) admission.Load {
 	var own, all, ownRunning, allRunning, usual float64
 	inFlight := 0
 	for _, v := range servers {
@@ -69,7 +70,7 @@
 		if local {
 			usual += float64(v.Slots)
 		}
-		if !c.warm(now, v) || v.capacity() == 0 || c.suspected(now, v) {
+		if !c.takesFlows(now, v) {
 			continue
 		}
 		inFlight += v.observed.atServer()
@@ -86,6 +87,10 @@
 		// What others cause isn't known, so the servers don't count as idle.
 		return admission.Load{Capacity: all, Running: max(allRunning, all), Own: inFlight, Instances: max(c.instances, instances)}
 	}
+	spare, away := c.spareElsewhere(now, service)
+	if running := ownRunning + away; spare > 0 && running > own {
+		own, ownRunning = own+min(spare, running-own), running
+	}
 	if part := min(all*float64(instances)/float64(max(c.instances, instances)), usual); part > own && !c.options.Off.Has(mechanism.RoomElsewhere) {
 		return admission.Load{Capacity: part, Running: allRunning, Own: inFlight, Instances: instances}
 	}
--- a/pkg/connection/forwarding/affinity.go
+++ b/pkg/connection/forwarding/affinity.go
@@ -63,14 +63,17 @@
 // placement.Score nothing is known of scores beforehand.
 func (c *Core) rankServers() {
 	clear(c.servers.ranks)
+	before := c.reported
+	c.reported = make(map[centreService]*reportedLoad)
 	for service, servers := range c.servers.byService {
 		var groups []*centreServers
 		for i, v := range servers {
 			n := slices.IndexFunc(groups, func(g *centreServers) bool { return g.dataCentre == v.DataCentre })
 			if n < 0 {
 				n = len(groups)
-				groups = append(groups, &centreServers{dataCentre: v.DataCentre})
+				groups = append(groups, c.newGroup(centreService{dataCentre: v.DataCentre, service: hashOfService(service)}, before))
 			}
+			v.group = groups[n]
 			k := rank{server: v, index: i, least: math.Inf(-1)}
 			if c.options.Policy == nil {
 				k.least = placement.Least(c.placeOf(v))
@@ -81,6 +84,9 @@
 		for _, g := range groups {
 			slices.SortFunc(g.ranks, func(a, b rank) int { return cmp.Or(cmp.Compare(a.least, b.least), cmp.Compare(a.index, b.index)) })
 		}
+		for _, g := range groups {
+			g.own = c.ownLoad(g.key.service)
+		}
 		slices.SortFunc(groups, func(a, b *centreServers) int {
 			return cmp.Or(cmp.Compare(c.distanceTo(a), c.distanceTo(b)), cmp.Compare(a.dataCentre, b.dataCentre))
 		})
@@ -88,6 +94,16 @@
 	}
 }
 
+// newGroup returns a group without servers. What its data centre reported before stays.
+func (c *Core) newGroup(key centreService, before map[centreService]*reportedLoad) *centreServers {
+	reported, ok := before[key]
+	if !ok {
+		reported = &reportedLoad{}
+	}
+	c.reported[key] = reported
+	return &centreServers{dataCentre: key.dataCentre, key: key, reported: reported}
+}
+
 // distanceTo returns 0 for the own data centre and 1 for others.
 func (c *Core) distanceTo(g *centreServers) int {
 	if g.dataCentre == c.options.DataCentre {
--- /dev/null
+++ b/pkg/connection/forwarding/centreloads.go
@@ -0,0 +1,173 @@
+package forwarding
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
+)
+
+const (
+	// maxCentreLoads bounds the services in one message to other data centres, which takes some
+	// 8 bytes for each.
+	maxCentreLoads = 8
+	// centreLoadMaxAge is how long a load that another data centre reported counts: an instance gets
+	// about one message a second from each other data centre.
+	centreLoadMaxAge = 3 * time.Second
+	// reportWeight is the weight of the latest message in a data centre's load: senders see
+	// different parts of it.
+	reportWeight = 0.5
+	// sparePart is the part of another data centre's free slots that flows of this one may take.
+	// The rest is for its own callers, whose number varies within the second until it reports.
+	sparePart = 0.7
+	// settleTime is the time after the own slots were all taken from which on what others report
+	// counts: in a crowd of all data centres each would otherwise take the others for idle until
+	// their next message. The averages in a message reach half of a step in 0.3 s.
+	settleTime = 300 * time.Millisecond
+	// fullEnded is the load at which the own slots count as free again.
+	fullEnded = 0.8
+	// shortLoad is the load of a data centre that sends flows to others too, which have to share
+	// what is spare.
+	shortLoad = 1.0
+)
+
+// CentreLoad is the load of one service's backend servers in a data centre, as far as that data
+// centre's instances cause it.
+type CentreLoad struct {
+	// Service is the hash of the service's name, and Load the running requests for each slot.
+	Service uint32
+	Load    float64
+}
+
+// reportedLoad is the load that another data centre reported, at a time.
+type reportedLoad struct {
+	at   time.Duration
+	load float64
+	// fullSince is since when the slots of the own data centre are all taken, 0 if they aren't.
+	fullSince time.Duration
+}
+
+// centreService names a service in a data centre.
+type centreService struct {
+	dataCentre string
+	service    uint32
+}
+
+func hashOfService(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// counts reports whether the load is recent enough to count, and from after the time at which the
+// slots of the own data centre were taken.
+func (t *reportedLoad) counts(now time.Duration, own *reportedLoad) bool {
+	return t.at > 0 && now-t.at <= centreLoadMaxAge && (own.fullSince == 0 || t.at >= own.fullSince+settleTime)
+}
+
+// ownLoad returns what is known of the service in the own data centre.
+func (c *Core) ownLoad(service uint32) *reportedLoad {
+	if t, ok := c.reported[centreService{c.options.DataCentre, service}]; ok {
+		return t
+	}
+	return &noLoad
+}
+
+// noLoad stands for a data centre without servers of a service. It never changes.
+var noLoad reportedLoad
+
+// updateFull notes since when the slots of the own data centre are all taken.
+func (c *Core) updateFull(now time.Duration) {
+	for _, service := range c.servers.services {
+		g := c.servers.ranks[service][0]
+		if g.dataCentre != c.options.DataCentre {
+			continue
+		}
+		slots, running := c.sumLoad(now, g)
+		switch {
+		case running > slots && g.reported.fullSince == 0:
+			g.reported.fullSince = now
+		case running < fullEnded*slots:
+			g.reported.fullSince = 0
+		}
+	}
+}
+
+// CentreLoads returns the loads of this data centre for instances of others, those of the
+// busiest services if there are too many.
+func (c *Core) CentreLoads(now time.Duration) []CentreLoad {
+	type busy struct {
+		CentreLoad
+		running float64
+	}
+	var all []busy
+	for _, service := range c.servers.services {
+		g := c.servers.ranks[service][0]
+		if g.dataCentre != c.options.DataCentre {
+			continue
+		}
+		if slots, running := c.sumLoad(now, g); slots > 0 {
+			all = append(all, busy{CentreLoad{Service: g.key.service, Load: max(running, 0) / slots}, running})
+		}
+	}
+	if len(all) > maxCentreLoads {
+		slices.SortStableFunc(all, func(a, b busy) int { return cmp.Compare(b.running, a.running) })
+		all = all[:maxCentreLoads]
+	}
+	loads := make([]CentreLoad, len(all))
+	for i, b := range all {
+		loads[i] = b.CentreLoad
+	}
+	return loads
+}
+
+// sumLoad returns the slots of a group's servers that take flows, and what this data centre's
+// instances have running there.
+func (c *Core) sumLoad(now time.Duration, g *centreServers) (slots, running float64) {
+	for _, k := range g.ranks {
+		if v := k.server; c.takesFlows(now, v) {
+			slots += float64(v.capacity())
+			running += c.running(v) - float64(v.observed.stale)
+		}
+	}
+	return slots, running
+}
+
+// takesFlows reports whether as many flows may go to the server as it has slots for.
+func (c *Core) takesFlows(now time.Duration, v *server) bool {
+	return c.warm(now, v) && v.capacity() > 0 && !c.suspected(now, v)
+}
+
+// ReceiveCentreLoads applies what an instance of another data centre reports of the loads there.
+func (c *Core) ReceiveCentreLoads(now time.Duration, dataCentre string, loads []CentreLoad) {
+	for _, l := range loads {
+		t, ok := c.reported[centreService{dataCentre, l.Service}]
+		switch {
+		case !ok || now <= t.at:
+		case !t.counts(now, c.ownLoad(l.Service)):
+			t.at, t.load = now, l.Load
+		default:
+			t.at, t.load = now, t.load+reportWeight*(l.Load-t.load)
+		}
+	}
+}
+
+// spareElsewhere returns how many requests of this data centre's callers fit into free slots of
+// others, by what these report, and how many of them run there.
+func (c *Core) spareElsewhere(now time.Duration, service string) (spare, running float64) {
+	if c.options.Off.Has(mechanism.SpareElsewhere) {
+		return 0, 0
+	}
+	short := 1.0
+	for _, g := range c.servers.ranks[service] {
+		if g.dataCentre == c.options.DataCentre || !g.reported.counts(now, g.own) || c.reachOf(g.dataCentre).lost {
+			continue
+		}
+		if g.reported.load >= shortLoad {
+			short++
+		}
+		slots, ours := c.sumLoad(now, g)
+		spare += sparePart * slots * max(1-g.reported.load, 0)
+		running += ours
+	}
+	return spare / short, running
+}
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -151,6 +151,8 @@
 	// affinity says that this instance prefers some servers, see assignAffinity.
 	affinity      bool
 	affinityState affinityState
+	// reported are the loads that other data centres report.
+	reported map[centreService]*reportedLoad
 	// confirmed is when the directory was last known to be the newest, and
 	// outageEnded when this was so again after an outage of the platform.
 	confirmed, outageEnded time.Duration
@@ -365,5 +367,6 @@
 		c.updateState(now, v)
 	}
 	c.updateReach(now)
+	c.updateFull(now)
 	c.tickAdmission(now)
 }
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -145,7 +145,7 @@
 func (c *Core) running(v *server) float64 {
 	others := v.observed.others.running
 	if c.affinity && !c.options.Off.Has(mechanism.MeanLoads) {
-		others = v.meanOthers
+		others = v.group.meanOthers
 	}
 	return float64(v.observed.running) + c.reportScale*others
 }
@@ -155,6 +155,9 @@
 	k.Server, k.Slots, k.Running = v.ID, max(v.capacity(), 1), c.running(v)
 	k.Open = float64(v.observed.openFlows) + c.reportScale*float64(v.observed.others.openFlows)
 	k.Penalty = v.observed.penalty(now)
+	if !k.Local && !c.options.Off.Has(mechanism.ReportedLoads) && v.group.reported.counts(now, v.group.own) {
+		k.Reported, k.CentreLoad = true, v.group.reported.load
+	}
 	return k
 }
 
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -39,9 +39,9 @@
 	// distance is how far the server is from this instance on the ring of its service and
 	// data centre, from 0 to 1, see assignAffinity.
 	distance float64
-	// meanOthers is the mean of others.running over the servers of the service and data
-	// centre.
-	meanOthers float64
+	// group holds the servers of the same service and data centre, nil for a server without
+	// service.
+	group *centreServers
 }
 
 // registry holds the backend servers that marks can name.
@@ -70,7 +70,11 @@
 // centreServers are the servers of one service in one data centre.
 type centreServers struct {
 	dataCentre string
-	ranks      []rank
+	key        centreService
+	// reported is the load that the data centre reports, if it is another one, and own what is known of
+	// the service in the own data centre.
+	reported, own *reportedLoad
+	ranks         []rank
 	// slots is the largest number of slots of a server.
 	slots int
 	// meanOthers is the mean of others.running over the servers, and common the load, in
@@ -78,16 +82,13 @@
 	meanOthers, common float64
 }
 
-// averageOthers sets meanOthers here and at the servers.
+// averageOthers sets meanOthers.
 func (g *centreServers) averageOthers() {
 	sum := 0.0
 	for _, k := range g.ranks {
 		sum += k.server.observed.others.running
 	}
 	g.meanOthers = sum / float64(len(g.ranks))
-	for _, k := range g.ranks {
-		k.server.meanOthers = g.meanOthers
-	}
 }
 
 func newRegistry() registry {
--- a/pkg/connection/mechanism/mechanism.go
+++ b/pkg/connection/mechanism/mechanism.go
@@ -38,6 +38,8 @@
 	MeanLoads
 	EarlySpill
 	CallerLeading
+	ReportedLoads
+	SpareElsewhere
 )
 
 // descriptions holds each mechanism's name and what happens without it, by its value.
@@ -55,6 +57,8 @@
 	{"MeanLoads", "loads that other instances report count for each server, however old"},
 	{"EarlySpill", "flows leave their data centre only at twice the load"},
 	{"CallerLeading", "an instance that reaches no server goes on taking callers"},
+	{"ReportedLoads", "flows leave their data centre without regard to the load of the others"},
+	{"SpareElsewhere", "callers are rejected while other data centres have free slots"},
 }
 
 // All returns all mechanisms, in the order of their values.
--- a/pkg/connection/placement/placement.go
+++ b/pkg/connection/placement/placement.go
@@ -30,6 +30,10 @@
 	// servers. The average is exact enough to leave earlier, before the fuller servers of
 	// the data centre shed; one request takes longer than the way to another data centre.
 	averagedRemoteLoad = 1
+	// reportedRemoteLoad is how much higher the load of a local server has to be than that which
+	// the other data centre reports. Where that has no room either, flows leave as they do without
+	// its report, which evens out what a few servers vary.
+	reportedRemoteLoad = 1
 	// drawLoad is the largest random load that is added, in requests a slot. It
 	// spreads flows over servers with about equal load.
 	drawLoad = 0.02
@@ -61,6 +65,9 @@
 	// Averaged says that Running contains an average of what other instances cause at the
 	// servers of the service and data centre.
 	Averaged bool
+	// Reported says that the other data centre reports its load, CentreLoad, in requests a slot.
+	Reported   bool
+	CentreLoad float64
 }
 
 // Policy returns a candidate's score; the lowest score is best.
@@ -70,20 +77,28 @@
 // policy that instances use.
 func Score(c Candidate) float64 {
 	score := (c.Running+openLoad*c.Open)/float64(max(c.Slots, 1)) + c.Penalty + distanceLoad*c.Distance
-	switch {
-	case c.Local:
-	case c.Averaged:
-		score += averagedRemoteLoad
-	default:
-		score += remoteLoad
+	if !c.Local {
+		score += c.remoteLoad()
 	}
 	return score
 }
 
+// remoteLoad returns the load that is added to that of a server in another data centre.
+func (c Candidate) remoteLoad() float64 {
+	load := float64(remoteLoad)
+	if c.Averaged {
+		load = averagedRemoteLoad
+	}
+	if c.Reported {
+		load = min(load, c.CentreLoad+reportedRemoteLoad)
+	}
+	return load
+}
+
 // Least returns the lowest score that a server can have for Score, whatever its load and its
 // penalty. Of the candidate it takes the place alone.
 func Least(c Candidate) float64 {
-	return Score(Candidate{Slots: 1, Local: c.Local, Distance: c.Distance, Averaged: c.Averaged})
+	return Score(Candidate{Slots: 1, Local: c.Local, Distance: c.Distance, Averaged: c.Averaged, Reported: true})
 }
 
 // Best finds the candidate with the lowest score.
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -82,6 +82,7 @@
 type heard struct {
 	receivedAt time.Duration
 	dataCentre string
+	loads      []forwarding.CentreLoad
 }
 
 // peerReportQueue is how many reports of other instances can wait for the decider, and
@@ -149,23 +150,23 @@
 	}
 }
 
-// reports returns the loads that this instance's flows show, and what it reports of services
-// that are short, as of the last tick, and nothing if that is too long ago. The caller must
-// not change the pressures.
-func (d *decider) reports() ([]forwarding.Load, []admission.Pressure) {
+// reports returns what this instance reports to others as of the last tick, and nothing if that is
+// too long ago. The caller must not change it.
+func (d *decider) reports() published {
 	p := d.published.Load()
 	if p == nil {
-		return nil, nil
+		return published{}
 	}
 	age := d.host.Now() - p.at
 	if age > maxLoadsAge {
-		return nil, nil
+		return published{}
 	}
-	loads := make([]forwarding.Load, len(p.loads))
+	aged := *p
+	aged.loads = make([]forwarding.Load, len(p.loads))
 	for i, l := range p.loads {
-		loads[i] = l.Aged(age)
+		aged.loads[i] = l.Aged(age)
 	}
-	return loads, p.pressures
+	return aged
 }
 
 // run handles the receiver's packets until the context ends or the receiver stops.
@@ -266,7 +267,7 @@
 		d.observer.recordServed(d.core.Served())
 	}
 	d.observer.logSummary(now)
-	d.published.Store(&published{at: now, loads: d.core.Loads(now), pressures: d.core.Pressures()})
+	d.published.Store(&published{at: now, loads: d.core.Loads(now), pressures: d.core.Pressures(), centres: d.core.CentreLoads(now)})
 }
 
 // sendNotices sends what other instances should know at once.
--- a/pkg/process/entry/exchange.go
+++ b/pkg/process/entry/exchange.go
@@ -80,7 +80,7 @@
 	}
 	otherDataCentre := m.Hello.From.DataCentre != e.dataCentre
 	if otherDataCentre {
-		e.decider.queueHeard(heard{receivedAt: at, dataCentre: m.Hello.From.DataCentre})
+		e.decider.queueHeard(heard{receivedAt: at, dataCentre: m.Hello.From.DataCentre, loads: m.CentreLoads})
 	}
 	advanced, newer := e.state.receiveHello(at, m.Hello, m.Batch)
 	if advanced && otherDataCentre {
@@ -119,10 +119,10 @@
 func (e *exchange) sendState() {
 	defer e.guards.exchange.Contain()
 	began := e.host.Now()
-	loads, pressures := e.decider.reports()
-	m := wire.Message{Hello: e.state.hello(), Pressures: pressures}
+	reports := e.decider.reports()
+	m := wire.Message{Hello: e.state.hello(), Pressures: reports.pressures, CentreLoads: reports.centres}
 	if !m.Hello.Following {
-		m.Loads = loads
+		m.Loads = reports.loads
 	}
 	datagram, ok := e.encode(m)
 	if !ok {
@@ -136,7 +136,7 @@
 	}
 	if limit = e.affordable(len(datagram), notices); limit == 0 {
 		// Other data centres still have to hear of this instance.
-		if datagram, ok = e.encode(wire.Message{Hello: m.Hello}); !ok {
+		if datagram, ok = e.encode(wire.Message{Hello: m.Hello, CentreLoads: m.CentreLoads}); !ok {
 			return
 		}
 	}
--- a/pkg/process/entry/freshness.go
+++ b/pkg/process/entry/freshness.go
@@ -41,6 +41,7 @@
 	at        time.Duration
 	loads     []forwarding.Load
 	pressures []admission.Pressure
+	centres   []forwarding.CentreLoad
 }
 
 // suspension tells a decider that was suspended from one that had nothing to do. Only the
--- a/pkg/process/entry/received.go
+++ b/pkg/process/entry/received.go
@@ -26,4 +26,5 @@
 func (d *decider) recordHeard(h heard) {
 	defer d.guards.messages.Contain()
 	d.core.HeardFrom(h.receivedAt, h.dataCentre)
+	d.core.ReceiveCentreLoads(h.receivedAt, h.dataCentre, h.loads)
 }
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -30,6 +30,8 @@
 	Answer bool
 	// Pressures are the services that are short of capacity.
 	Pressures []admission.Pressure
+	// CentreLoads are the loads of services in the sender's data centre.
+	CentreLoads []forwarding.CentreLoad
 }
 
 // hundredths is the number of wire units in one running request.
@@ -63,6 +65,9 @@
 		})
 	}
 	w.Pressures = pressuresToWire(m.Pressures)
+	for _, l := range m.CentreLoads {
+		w.CentreLoads = append(w.CentreLoads, &CentreLoad{Service: l.Service, LoadHundredths: toUnits(l.Load, hundredths)})
+	}
 	if m.Batch != nil {
 		w.Batch = batchToWire(*m.Batch)
 	}
@@ -113,6 +118,9 @@
 		return Message{}, err
 	}
 	m.Pressures = pressuresFromWire(w.GetPressures())
+	for _, l := range w.GetCentreLoads() {
+		m.CentreLoads = append(m.CentreLoads, forwarding.CentreLoad{Service: l.GetService(), Load: float64(l.GetLoadHundredths()) / hundredths})
+	}
 	if w.GetBatch() != nil {
 		batch := batchFromWire(w.GetBatch())
 		if err := checkBatch(batch); err != nil {
