--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -30,7 +30,7 @@
 		Evidence: capacity.Evidence{Answered: 12.5, Failed: 3.25, AnswerTime: 40 * time.Millisecond}, EjectedLeft: 2 * time.Second,
 	}},
 	Asked: []mark.Mark{7, 9}, Answer: true,
-	Pressures: []admission.Pressure{{Service: 1 << 31, Asked: 1500.25, Admitted: 321.5, Wait: 48 * time.Millisecond, Answers: 31, Level: 0.2143}},
+	Pressures:   []admission.Pressure{{Service: 1 << 31, Asked: 1500.25, Admitted: 321.5, Wait: 48 * time.Millisecond, Answers: 31, Level: 0.2143}},
 	CentreLoads: []forwarding.CentreLoad{{Service: 5, Load: 0.75}},
 	Batch: &replica.Batch{Era: 3, After: 410, Revision: 412, Changes: []replica.Change{
 		{Key: "a", Value: []byte("1"), Revision: 411}, {Key: "b", Revision: 412, Deleted: true},
