Log when flows leave for data centres that report free servers

Cause: what an instance believes of other data centres' loads decides on refusals and on where flows go, and no line said so.

A line at the begin and the end of such a time has slots, running requests, what is spare elsewhere and since when the own slots are taken; placed flows have the reported load of their data centre. The test reads both events.

--- a/pkg/connection/forwarding/centreloads.go
+++ b/pkg/connection/forwarding/centreloads.go
@@ -46,8 +46,10 @@
 type reportedLoad struct {
 	at   time.Duration
 	load float64
-	// fullSince is since when the slots of the own data centre are all taken, 0 if they aren't.
+	// fullSince is since when the slots of the own data centre are all taken, 0 if they aren't, and
+	// leaving says that callers of it count on free slots elsewhere since.
 	fullSince time.Duration
+	leaving   bool
 }
 
 // centreService names a service in a data centre.
@@ -83,15 +85,51 @@
 			continue
 		}
 		slots, running := c.sumLoad(now, g)
+		own := g.reported
+		spare, _ := c.spareElsewhere(now, service)
 		switch {
-		case running > slots && g.reported.fullSince == 0:
-			g.reported.fullSince = now
-		case running < fullEnded*slots:
-			g.reported.fullSince = 0
+		case running > slots && own.fullSince == 0:
+			own.fullSince = now
+		case own.fullSince > 0 && !own.leaving && running > slots && spare > 0:
+			own.leaving = true
+			c.addSpillEvent(SpillEvent{Service: service, Began: true, Slots: slots, Running: running, Spare: spare, FullFor: now - own.fullSince})
+		case running < fullEnded*slots && own.fullSince > 0:
+			if own.leaving {
+				c.addSpillEvent(SpillEvent{Service: service, Slots: slots, Running: running, Spare: spare, FullFor: now - own.fullSince})
+			}
+			own.fullSince, own.leaving = 0, false
 		}
 	}
 }
 
+// SpillEvent is the begin or the end of a time in which callers count on free slots of other data
+// centres, as those of the own one are taken.
+type SpillEvent struct {
+	Service string
+	Began   bool
+	// Slots are those of the own data centre, and Running the requests that its instances have
+	// there. Spare is how many of its requests fit into free slots elsewhere.
+	Slots, Running, Spare float64
+	// FullFor is how long the own slots are or were taken.
+	FullFor time.Duration
+}
+
+// maxSpillEvents bounds the events that wait for a call of SpillEvents; later ones are lost.
+const maxSpillEvents = 64
+
+func (c *Core) addSpillEvent(e SpillEvent) {
+	if len(c.spillEvents) < maxSpillEvents {
+		c.spillEvents = append(c.spillEvents, e)
+	}
+}
+
+// SpillEvents returns the events since the last call, oldest first.
+func (c *Core) SpillEvents() []SpillEvent {
+	events := c.spillEvents
+	c.spillEvents = nil
+	return events
+}
+
 // CentreLoads returns the loads of this data centre for instances of others, those of the
 // busiest services if there are too many.
 func (c *Core) CentreLoads(now time.Duration) []CentreLoad {
--- a/pkg/connection/forwarding/centreloads_test.go
+++ b/pkg/connection/forwarding/centreloads_test.go
@@ -86,6 +86,32 @@
 	}
 }
 
+// Guards against flows that leave for other data centres without a line in the log that says so.
+func TestBeginAndEndOfLeavingAreEvents(t *testing.T) {
+	c := newCore(deployment())
+	now := time.Second
+	var open []*caller
+	for range 12 {
+		p, _ := opened(t, c, now, feedRoute)
+		c.Decide(now, p.request())
+		open = append(open, p)
+	}
+	for range 10 {
+		now += 100 * time.Millisecond
+		report(c, now, 0.2)
+		c.Tick(now, maxFlow)
+	}
+	for _, p := range open {
+		c.Decide(now, p.acknowledge())
+		c.Decide(now, p.finish())
+	}
+	c.Tick(now+time.Millisecond, maxFlow)
+	events := c.SpillEvents()
+	if len(events) != 2 || !events[0].Began || events[1].Began || events[0].Running <= events[0].Slots || events[0].Spare < 4 || events[0].FullFor < 300*time.Millisecond {
+		t.Errorf("%+v", events)
+	}
+}
+
 // Guards against loads that contain what other data centres cause, or that of servers that take no
 // flows, which nobody can use.
 func TestLoadsForOtherDataCentresAreThoseOfOwnServers(t *testing.T) {
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -152,7 +152,8 @@
 	affinity      bool
 	affinityState affinityState
 	// reported are the loads that other data centres report.
-	reported map[centreService]*reportedLoad
+	reported    map[centreService]*reportedLoad
+	spillEvents []SpillEvent
 	// confirmed is when the directory was last known to be the newest, and
 	// outageEnded when this was so again after an outage of the platform.
 	confirmed, outageEnded time.Duration
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -262,6 +262,7 @@
 	d.observer.recordReach(d.core.ReachEvents())
 	d.observer.recordHealth(d.core.HealthEvents(), d.core.HealthStates(now))
 	d.observer.recordShortages(d.core.Shortages())
+	d.observer.recordSpills(d.core.SpillEvents())
 	d.observer.metrics.countDemand(d.core.Demand())
 	if d.readiness.setServed(d.core.Served()) {
 		d.observer.recordServed(d.core.Served())
--- a/pkg/process/entry/observer.go
+++ b/pkg/process/entry/observer.go
@@ -48,8 +48,12 @@
 	case d.Verdict == forwarding.Reset:
 		o.log.Info("Flow: reset.", o.decisionFields(s, d, inputs)...)
 	case d.Reason == forwarding.Placed || d.Reason == forwarding.PlacedAgain:
-		o.log.Info("Flow: placed.", append(o.decisionFields(s, d, inputs),
-			"DataCentre", d.DataCentre, "Copy", s.Copy(), "Running", d.Load.Running, "Open", d.Load.Open, "Slots", d.Load.Slots, "Local", d.Load.Local)...)
+		fields := append(o.decisionFields(s, d, inputs),
+			"DataCentre", d.DataCentre, "Copy", s.Copy(), "Running", d.Load.Running, "Open", d.Load.Open, "Slots", d.Load.Slots, "Local", d.Load.Local)
+		if d.Load.Reported {
+			fields = append(fields, "CentreLoad", d.Load.CentreLoad)
+		}
+		o.log.Info("Flow: placed.", fields...)
 	case d.Reason == forwarding.NoMark:
 		o.withoutMark++
 	case d.Verdict == forwarding.Drop:
@@ -113,6 +117,17 @@
 	}
 }
 
+// recordSpills logs when callers count on free slots of other data centres.
+func (o *observer) recordSpills(events []forwarding.SpillEvent) {
+	for _, e := range events {
+		message := "Service: its slots in the data centre are free again."
+		if e.Began {
+			message = "Service: its slots in the data centre are taken, flows leave for data centres that report free ones."
+		}
+		o.log.InfoContext(logs.Always(), message, "Service", e.Service, "Slots", e.Slots, "Running", e.Running, "Spare", e.Spare, "FullFor", e.FullFor)
+	}
+}
+
 // recordServed logs whether callers can be served.
 func (o *observer) recordServed(served bool) {
 	if served {
