--- a/pkg/version/directory/directory.go
+++ b/pkg/version/directory/directory.go
@@ -214,20 +214,26 @@
 // replaced, or removed if nil. It copies and sorts all servers once, whatever the
 // number of changes.
 func (d Directory) WithServers(changed map[string]*Server) Directory {
-	servers := make([]Server, 0, len(d.servers)+len(changed))
-	for _, s := range d.servers {
-		if _, replaced := changed[s.ID]; !replaced {
-			servers = append(servers, s)
+	d.servers = merge(d.servers, changed, func(s Server) string { return s.ID })
+	return d
+}
+
+// merge returns a copy of a list with the changed entries, by key, added or replaced, or removed
+// if nil, ordered by key.
+func merge[T any](list []T, changed map[string]*T, key func(T) string) []T {
+	merged := make([]T, 0, len(list)+len(changed))
+	for _, e := range list {
+		if _, replaced := changed[key(e)]; !replaced {
+			merged = append(merged, e)
 		}
 	}
-	for _, s := range changed {
-		if s != nil {
-			servers = append(servers, *s)
+	for _, e := range changed {
+		if e != nil {
+			merged = append(merged, *e)
 		}
 	}
-	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
-	d.servers = servers
-	return d
+	slices.SortFunc(merged, func(a, b T) int { return strings.Compare(key(a), key(b)) })
+	return merged
 }
 
 // WithoutEntries returns d with nothing but its configuration.
@@ -295,22 +301,9 @@
 // WithInstances returns d with the changed instances, by name, added or replaced,
 // or removed if nil. It copies all instances once, whatever the number of changes.
 func (d Directory) WithInstances(changed map[string]*Instance) Directory {
-	if len(changed) == 0 {
-		return d
-	}
-	instances := make([]Instance, 0, len(d.instances)+len(changed))
-	for _, i := range d.instances {
-		if _, replaced := changed[i.Name]; !replaced {
-			instances = append(instances, i)
-		}
-	}
-	for _, i := range changed {
-		if i != nil {
-			instances = append(instances, *i)
-		}
+	if len(changed) > 0 {
+		d.instances = merge(d.instances, changed, func(i Instance) string { return i.Name })
 	}
-	slices.SortFunc(instances, func(a, b Instance) int { return strings.Compare(a.Name, b.Name) })
-	d.instances = instances
 	return d
 }
 
