Keep what is reported of other data centres apart from the own slots

Cause: reading the change, one type held both, for different data centres.

Tests and the events are unchanged.

--- a/pkg/connection/forwarding/admit.go
+++ b/pkg/connection/forwarding/admit.go
@@ -87,9 +87,11 @@
 		// What others cause isn't known, so the servers don't count as idle.
 		return admission.Load{Capacity: all, Running: max(allRunning, all), Own: inFlight, Instances: max(c.instances, instances)}
 	}
-	spare, away := c.spareElsewhere(now, service)
-	if running := ownRunning + away; spare > 0 && running > own {
-		own, ownRunning = own+min(spare, running-own), running
+	if ownRunning >= fullEnded*own {
+		spare, away := c.spareElsewhere(now, service)
+		if running := ownRunning + away; spare > 0 && running > own {
+			own, ownRunning = own+min(spare, running-own), running
+		}
 	}
 	if part := min(all*float64(instances)/float64(max(c.instances, instances)), usual); part > own && !c.options.Off.Has(mechanism.RoomElsewhere) {
 		return admission.Load{Capacity: part, Running: allRunning, Own: inFlight, Instances: instances}
--- a/pkg/connection/forwarding/affinity.go
+++ b/pkg/connection/forwarding/affinity.go
@@ -63,15 +63,15 @@
 // placement.Score nothing is known of scores beforehand.
 func (c *Core) rankServers() {
 	clear(c.servers.ranks)
-	before := c.reported
-	c.reported = make(map[centreService]*reportedLoad)
+	before := c.servers.groups
+	c.servers.groups = make(map[centreService]*centreServers)
 	for service, servers := range c.servers.byService {
 		var groups []*centreServers
 		for i, v := range servers {
 			n := slices.IndexFunc(groups, func(g *centreServers) bool { return g.dataCentre == v.DataCentre })
 			if n < 0 {
 				n = len(groups)
-				groups = append(groups, c.newGroup(centreService{dataCentre: v.DataCentre, service: hashOfService(service)}, before))
+				groups = append(groups, newGroup(centreService{dataCentre: v.DataCentre, service: hashOfService(service)}, before))
 			}
 			v.group = groups[n]
 			k := rank{server: v, index: i, least: math.Inf(-1)}
@@ -81,11 +81,11 @@
 			groups[n].ranks = append(groups[n].ranks, k)
 			groups[n].slots = max(groups[n].slots, v.Slots)
 		}
+		own := c.ownSlots(hashOfService(service), before)
 		for _, g := range groups {
 			slices.SortFunc(g.ranks, func(a, b rank) int { return cmp.Or(cmp.Compare(a.least, b.least), cmp.Compare(a.index, b.index)) })
-		}
-		for _, g := range groups {
-			g.own = c.ownLoad(g.key.service)
+			g.own = own
+			c.servers.groups[g.key] = g
 		}
 		slices.SortFunc(groups, func(a, b *centreServers) int {
 			return cmp.Or(cmp.Compare(c.distanceTo(a), c.distanceTo(b)), cmp.Compare(a.dataCentre, b.dataCentre))
@@ -95,13 +95,20 @@
 }
 
 // newGroup returns a group without servers. What its data centre reported before stays.
-func (c *Core) newGroup(key centreService, before map[centreService]*reportedLoad) *centreServers {
-	reported, ok := before[key]
-	if !ok {
-		reported = &reportedLoad{}
+func newGroup(key centreService, before map[centreService]*centreServers) *centreServers {
+	g := &centreServers{dataCentre: key.dataCentre, key: key}
+	if earlier, ok := before[key]; ok {
+		g.reported = earlier.reported
+	}
+	return g
+}
+
+// ownSlots returns what was known of a service's slots in the own data centre.
+func (c *Core) ownSlots(service uint32, before map[centreService]*centreServers) *ownSlots {
+	if earlier, ok := before[centreService{c.options.DataCentre, service}]; ok {
+		return earlier.own
 	}
-	c.reported[key] = reported
-	return &centreServers{dataCentre: key.dataCentre, key: key, reported: reported}
+	return &ownSlots{}
 }
 
 // distanceTo returns 0 for the own data centre and 1 for others.
--- a/pkg/connection/forwarding/centreloads.go
+++ b/pkg/connection/forwarding/centreloads.go
@@ -46,8 +46,12 @@
 type reportedLoad struct {
 	at   time.Duration
 	load float64
-	// fullSince is since when the slots of the own data centre are all taken, 0 if they aren't, and
-	// leaving says that callers of it count on free slots elsewhere since.
+}
+
+// ownSlots is what is known of a service's slots in the own data centre.
+type ownSlots struct {
+	// fullSince is since when all are taken, 0 if they aren't, and leaving says that callers count
+	// on free slots elsewhere since.
 	fullSince time.Duration
 	leaving   bool
 }
@@ -62,20 +66,12 @@
 
 // counts reports whether the load is recent enough to count, and from after the time at which the
 // slots of the own data centre were taken.
-func (t *reportedLoad) counts(now time.Duration, own *reportedLoad) bool {
-	return t.at > 0 && now-t.at <= centreLoadMaxAge && (own.fullSince == 0 || t.at >= own.fullSince+settleTime)
-}
-
-// ownLoad returns what is known of the service in the own data centre.
-func (c *Core) ownLoad(service uint32) *reportedLoad {
-	if t, ok := c.reported[centreService{c.options.DataCentre, service}]; ok {
-		return t
-	}
-	return &noLoad
+func (l reportedLoad) counts(now time.Duration, own ownSlots) bool {
+	return l.at > 0 && now-l.at <= centreLoadMaxAge && (own.fullSince == 0 || l.at >= own.fullSince+settleTime)
 }
 
-// noLoad stands for a data centre without servers of a service. It never changes.
-var noLoad reportedLoad
+// reports reports whether the load that the group's data centre reported counts.
+func (g *centreServers) reports(now time.Duration) bool { return g.reported.counts(now, *g.own) }
 
 // updateFull notes since when the slots of the own data centre are all taken.
 func (c *Core) updateFull(now time.Duration) {
@@ -85,19 +81,24 @@
 			continue
 		}
 		slots, running := c.sumLoad(now, g)
-		own := g.reported
+		own := g.own
+		if own.fullSince == 0 {
+			if running > slots {
+				own.fullSince = now
+			}
+			continue
+		}
 		spare, _ := c.spareElsewhere(now, service)
+		e := SpillEvent{Service: service, Slots: slots, Running: running, Spare: spare, FullFor: now - own.fullSince}
 		switch {
-		case running > slots && own.fullSince == 0:
-			own.fullSince = now
-		case own.fullSince > 0 && !own.leaving && running > slots && spare > 0:
-			own.leaving = true
-			c.addSpillEvent(SpillEvent{Service: service, Began: true, Slots: slots, Running: running, Spare: spare, FullFor: now - own.fullSince})
-		case running < fullEnded*slots && own.fullSince > 0:
+		case running < fullEnded*slots:
 			if own.leaving {
-				c.addSpillEvent(SpillEvent{Service: service, Slots: slots, Running: running, Spare: spare, FullFor: now - own.fullSince})
+				c.addSpillEvent(e)
 			}
 			own.fullSince, own.leaving = 0, false
+		case !own.leaving && running > slots && spare > 0:
+			own.leaving, e.Began = true, true
+			c.addSpillEvent(e)
 		}
 	}
 }
@@ -178,13 +179,13 @@
 // ReceiveCentreLoads applies what an instance of another data centre reports of the loads there.
 func (c *Core) ReceiveCentreLoads(now time.Duration, dataCentre string, loads []CentreLoad) {
 	for _, l := range loads {
-		t, ok := c.reported[centreService{dataCentre, l.Service}]
+		g, ok := c.servers.groups[centreService{dataCentre, l.Service}]
 		switch {
-		case !ok || now <= t.at:
-		case !t.counts(now, c.ownLoad(l.Service)):
-			t.at, t.load = now, l.Load
+		case !ok || now <= g.reported.at:
+		case !g.reports(now):
+			g.reported = reportedLoad{at: now, load: l.Load}
 		default:
-			t.at, t.load = now, t.load+reportWeight*(l.Load-t.load)
+			g.reported = reportedLoad{at: now, load: g.reported.load + reportWeight*(l.Load-g.reported.load)}
 		}
 	}
 }
@@ -197,7 +198,7 @@
 	}
 	short := 1.0
 	for _, g := range c.servers.ranks[service] {
-		if g.dataCentre == c.options.DataCentre || !g.reported.counts(now, g.own) || c.reachOf(g.dataCentre).lost {
+		if g.dataCentre == c.options.DataCentre || !g.reports(now) || c.reachOf(g.dataCentre).lost {
 			continue
 		}
 		if g.reported.load >= shortLoad {
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -151,9 +151,7 @@
 	// affinity says that this instance prefers some servers, see assignAffinity.
 	affinity      bool
 	affinityState affinityState
-	// reported are the loads that other data centres report.
-	reported    map[centreService]*reportedLoad
-	spillEvents []SpillEvent
+	spillEvents   []SpillEvent
 	// confirmed is when the directory was last known to be the newest, and
 	// outageEnded when this was so again after an outage of the platform.
 	confirmed, outageEnded time.Duration
--- a/pkg/connection/forwarding/place.go
+++ b/pkg/connection/forwarding/place.go
@@ -155,7 +155,7 @@
 	k.Server, k.Slots, k.Running = v.ID, max(v.capacity(), 1), c.running(v)
 	k.Open = float64(v.observed.openFlows) + c.reportScale*float64(v.observed.others.openFlows)
 	k.Penalty = v.observed.penalty(now)
-	if !k.Local && !c.options.Off.Has(mechanism.ReportedLoads) && v.group.reported.counts(now, v.group.own) {
+	if !k.Local && !c.options.Off.Has(mechanism.ReportedLoads) && v.group.reports(now) {
 		k.Reported, k.CentreLoad = true, v.group.reported.load
 	}
 	return k
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -51,6 +51,8 @@
 	// ranks holds the order in which the servers of each service are considered for new flows,
 	// see rankServers.
 	ranks map[string][]*centreServers
+	// groups holds the same by data centre and service.
+	groups map[centreService]*centreServers
 	// sorted holds all servers ordered by identifier, so that the same inputs give
 	// the same decisions, and events in the same order.
 	sorted []*server
@@ -71,10 +73,11 @@
 type centreServers struct {
 	dataCentre string
 	key        centreService
-	// reported is the load that the data centre reports, if it is another one, and own what is known of
-	// the service in the own data centre.
-	reported, own *reportedLoad
-	ranks         []rank
+	// reported is the load that the data centre reports, if it is another one, and own what is
+	// known of the service's slots in the own data centre.
+	reported reportedLoad
+	own      *ownSlots
+	ranks    []rank
 	// slots is the largest number of slots of a server.
 	slots int
 	// meanOthers is the mean of others.running over the servers, and common the load, in
