--- a/pkg/emulation/crowd_test.go
+++ b/pkg/emulation/crowd_test.go
@@ -10,6 +10,7 @@
 // Guards against urgent requests that are lost among others in a crowd: nearly all of the
 // day's have to be served, and more of all on time than without admission.
 func TestUrgentRequestsAreServedInACrowd(t *testing.T) {
+	t.Parallel()
 	d, err := day.Load(examples + "regressions/crowd.ini")
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/emulation/days_test.go
+++ b/pkg/emulation/days_test.go
@@ -74,6 +74,7 @@
 // data centres: half of the day's requests there fall into the cut, and what is lost until
 // the routers know may be a tenth at most.
 func TestCallersOfACutOffDataCentreAreServedElsewhere(t *testing.T) {
+	t.Parallel()
 	d, err := day.Load(examples + "regressions/cut-off-without-servers.ini")
 	if err != nil {
 		t.Fatal(err)
@@ -91,6 +92,7 @@
 // Degraded servers must lose far fewer requests of flows that are opened during the fault
 // than without health. Flows that are open already stay where they are.
 func TestDegradedServersLoseFewRequests(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"degraded-servers", "shedding-servers", "hanging-servers"} {
 		d, err := day.Load(examples + "regressions/" + name + ".ini")
 		if err != nil {
--- a/pkg/emulation/emulation_test.go
+++ b/pkg/emulation/emulation_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestCalmDayIsServedWhole(t *testing.T) {
+	t.Parallel()
 	d := load(t, "dakar").WithFaults(nil)
 	r := runDay(t, d, emulation.Options{Seed: 1})
 	if r.All.Served < r.All.Asked*999/1000 || r.Broken != 0 {
@@ -43,6 +44,7 @@
 }
 
 func TestSameSeedBringsTheSameLog(t *testing.T) {
+	t.Parallel()
 	d := load(t, "dakar-trouble-1")
 	var logs [2]bytes.Buffer
 	var results [2]emulation.Result
