--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -69,8 +71,20 @@
 		return err
 	}
 	defer f.close()
-	return s.play(f, os.Getenv("TROUBLE") != "0")
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	played := make(chan error, 1)
+	go func() { played <- s.play(f, os.Getenv("TROUBLE") != "0") }()
+	select {
+	case err := <-played:
+		return err
+	case <-signals:
+		return errInterrupted
+	}
 }
 
-// errNoFollower says that no instance alone follows the store.
-var errNoFollower = errors.New("no instance alone follows the store")
+var (
+	// errNoFollower says that no instance alone follows the store.
+	errNoFollower  = errors.New("no instance alone follows the store")
+	errInterrupted = errors.New("it was interrupted")
+)
