Say in the logs by whose word the replica is confirmed

Five hypotheses fit: the start of another instance passes for a confirmation; it passes for progress of a follower; keys that are transferred at a start carry a confirmation; a follower that is cut off counts as one that reads, so that those that read stop; echoes of old confirmations among the instances pass for new ones. Done: the lines on following say by whose word, and how long ago, the replica was confirmed and a follower received something, and which follower is known; a line tells of the first confirmation after a start. Ruled out: nothing of the decisions changes.

--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -115,11 +115,13 @@
 func (s *state) updateFollowing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.members.Following()
-	age := s.members.ConfirmedAge(s.now())
-	following := s.members.UpdateFollowing(s.now())
+	before, now := s.members.Following(), s.now()
+	following := s.members.UpdateFollowing(now)
 	if following && !before {
-		s.log.InfoContext(logs.Always(), "Follower: begins to follow the store.", "ConfirmedAge", age, "Revision", s.replica.Revision())
+		s.log.InfoContext(logs.Always(), "Follower: begins to follow the store.",
+			"ConfirmedAge", s.members.ConfirmedAge(now), "ConfirmedBy", s.members.ConfirmedBy(),
+			"ProgressAge", s.members.ProgressAge(now), "ProgressBy", s.members.ProgressBy(),
+			"Follower", s.members.Follower(), "FollowerAge", s.members.FollowerAge(now), "Revision", s.replica.Revision())
 	}
 	return following
 }
@@ -276,10 +278,15 @@
 	}
 	own := s.positionLocked()
 	current := own.Era == h.Era && own.Revision > 0 && own.Revision >= h.Revision && h.Revision > 0
-	following := s.members.Following()
+	following, confirmed := s.members.Following(), s.members.ConfirmedBy() != ""
 	s.members.ReceiveHello(at, h, current)
+	if !confirmed && s.members.ConfirmedBy() != "" {
+		s.log.InfoContext(logs.Always(), "Instance: the replica is confirmed for the first time.",
+			"ConfirmedAge", s.members.ConfirmedAge(at), "ConfirmedBy", s.members.ConfirmedBy(), "Revision", own.Revision, "After", at)
+	}
 	if following && !s.members.Following() {
-		s.log.InfoContext(logs.Always(), "Follower: stops following the store, as another instance does.", "Other", h.From.Name, "Follower", s.members.Follower())
+		s.log.InfoContext(logs.Always(), "Follower: stops following the store, as another instance does.",
+			"Other", h.From.Name, "Follower", s.members.Follower(), "FollowerAge", s.members.FollowerAge(at), "ProgressAge", s.members.ProgressAge(at))
 	}
 	s.decider.confirm(s.now() - s.members.ConfirmedAge(s.now()))
 	return !before.covers(own), !own.covers(positionOf(h))
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -138,6 +138,8 @@
 	confirmedAt time.Duration
 	// progressAt is when a follower was last known to receive something from the store.
 	progressAt time.Duration
+	// confirmedBy and progressBy are the names of the instances that said so.
+	confirmedBy, progressBy string
 	// followAfter is StaleAfter with this instance's share of staleJitter, and
 	// startupRandom its share of startupJitter.
 	followAfter   time.Duration
@@ -256,9 +258,9 @@
 		return
 	}
 	if current {
-		c.confirmedAt = max(c.confirmedAt, now-h.ConfirmedAge)
+		c.confirm(now-h.ConfirmedAge, h.From.Name)
 	}
-	c.Progress(now - h.ProgressAge)
+	c.recordProgress(now-h.ProgressAge, h.From.Name)
 	if h.Following && !h.Leaving && h.ProgressAge <= yieldMaxAge {
 		c.noteFollower(now, h.From.Name, h.Era, now)
 	}
@@ -283,13 +285,25 @@
 	}
 }
 
-// Confirm records that this instance's replica was the newest at the given time.
-// Earlier times than the known one have no effect.
-func (c *Core) Confirm(confirmedAt time.Duration) { c.confirmedAt = max(c.confirmedAt, confirmedAt) }
+// Confirm records that this instance's replica was the newest at the given time, as the
+// store said. Earlier times than the known one have no effect.
+func (c *Core) Confirm(confirmedAt time.Duration) { c.confirm(confirmedAt, c.self.Name) }
 
-// Progress records that a follower was receiving something from the store at the given
+func (c *Core) confirm(at time.Duration, by string) {
+	if at > c.confirmedAt {
+		c.confirmedAt, c.confirmedBy = at, by
+	}
+}
+
+// Progress records that this instance was receiving something from the store at the given
 // time.
-func (c *Core) Progress(at time.Duration) { c.progressAt = max(c.progressAt, at) }
+func (c *Core) Progress(at time.Duration) { c.recordProgress(at, c.self.Name) }
+
+func (c *Core) recordProgress(at time.Duration, by string) {
+	if at > c.progressAt {
+		c.progressAt, c.progressBy = at, by
+	}
+}
 
 // ProgressAge returns how long ago a follower was known to receive something from the
 // store.
@@ -342,6 +356,16 @@
 // Follower returns the name of the last known other follower, empty for none.
 func (c *Core) Follower() string { return c.follower }
 
+// FollowerAge returns how long ago the last known other follower was known to follow.
+func (c *Core) FollowerAge(now time.Duration) time.Duration { return now - c.followerSeen }
+
+// ConfirmedBy returns the name of the instance by whose word the replica was last confirmed,
+// empty for none, and ProgressBy that of the one that last told of progress.
+func (c *Core) ConfirmedBy() string { return c.confirmedBy }
+
+// ProgressBy is described at ConfirmedBy.
+func (c *Core) ProgressBy() string { return c.progressBy }
+
 // DataCentrePeers returns the endpoints of all known other instances of the own data
 // centre, some of which may have ended.
 func (c *Core) DataCentrePeers() []netip.AddrPort { return c.endpoints(c.self.DataCentre) }
