--- a/pkg/connection/forwarding/admit_test.go
+++ b/pkg/connection/forwarding/admit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -22,7 +23,7 @@
 		Services: []directory.Service{{Name: feedService}, {Name: ledgerService}},
 	})
 	c := forwarding.New(forwarding.Options{Name: "entry", DataCentre: near, Seed: 1, Admission: &admission.Options{}})
-	c.Confirm(0, 1)
+	c.Confirm(0, clock.At(1))
 	c.Adopt(0, d)
 	return c
 }
--- a/pkg/connection/forwarding/affinity_test.go
+++ b/pkg/connection/forwarding/affinity_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/placement"
@@ -53,7 +54,7 @@
 	for _, i := range d.Instances() {
 		o.Name, o.DataCentre, o.Seed = i.Name, near, l.random.Uint64()
 		c := forwarding.New(o)
-		c.Confirm(0, 1)
+		c.Confirm(0, clock.At(1))
 		c.Adopt(0, d)
 		l.cores = append(l.cores, c)
 	}
--- a/pkg/connection/forwarding/bench_test.go
+++ b/pkg/connection/forwarding/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
@@ -210,7 +211,7 @@
 			Name: "entry-0", DataCentre: near, Seed: 1, ColdFactor: 1.5, ColdSlack: 5,
 			Health: forwarding.HealthOptions{Enabled: true}, Admission: &admission.Options{},
 		})
-		c.Confirm(0, 1)
+		c.Confirm(0, clock.At(1))
 		c.Adopt(0, d)
 		now := time.Duration(0)
 		for n := range 4000 {
--- a/pkg/connection/forwarding/era_test.go
+++ b/pkg/connection/forwarding/era_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 )
 
@@ -16,10 +17,10 @@
 		c := newCore(d)
 		end := 20 * time.Second
 		if confirmedFirst {
-			c.Confirm(end, end)
+			c.Confirm(end, clock.At(end))
 		}
 		c.Adopt(end, d.WithEra(2))
-		c.Confirm(end, end)
+		c.Confirm(end, clock.At(end))
 		c.Adopt(end+time.Second, configured().WithEra(2))
 		if got := c.Decide(end+time.Second, newCaller(feedRoute).open(0)); got.Reason != forwarding.NoServer {
 			t.Errorf("confirmed first %v: %+v", confirmedFirst, got)
@@ -29,7 +30,7 @@
 	c := newCore(d)
 	c.Adopt(time.Second, d.WithEra(2))
 	end := 30 * time.Second
-	c.Confirm(end, end)
+	c.Confirm(end, clock.At(end))
 	c.Adopt(end, configured().WithEra(2))
 	if got := c.Decide(end+time.Second, newCaller(feedRoute).open(0)); got.Verdict != forwarding.Forward {
 		t.Errorf("1 s after a later outage: %+v", got)
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -23,6 +23,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
@@ -152,9 +153,10 @@
 	affinity      bool
 	affinityState affinityState
 	spillEvents   []SpillEvent
-	// confirmed is when the directory was last known to be the newest, and
-	// outageEnded when this was so again after an outage of the platform.
-	confirmed, outageEnded time.Duration
+	// confirmed is when the directory was last known to be the newest.
+	confirmed clock.Time
+	// outageEnded is when this was so again after an outage of the platform, 0 for never.
+	outageEnded time.Duration
 	// eraChanged is when the era of the platform's store last changed, 0 for never.
 	eraChanged time.Duration
 	// firstOpened is when a flow was first seen to open since the start, 0 for never.
@@ -214,21 +216,28 @@
 
 // Confirm records that the directory was known to be the newest at that time, which
 // may be before now. It ignores a time that isn't later than the last one.
-func (c *Core) Confirm(now, at time.Duration) {
-	if at <= c.confirmed {
+func (c *Core) Confirm(now time.Duration, at clock.Time) {
+	latest := c.confirmed.Latest(at)
+	if latest == c.confirmed {
 		return
 	}
-	if c.confirmed > 0 && at-c.confirmed > outageAfter {
+	if c.outageUntil(latest.Or(0)) {
 		c.outageEnded = now
 	}
-	c.confirmed = at
+	c.confirmed = latest
+}
+
+// outageUntil reports whether the platform was out of reach up to that time. Nothing is known
+// of an outage that began before the instance.
+func (c *Core) outageUntil(at time.Duration) bool {
+	return c.confirmed.NotBefore(0) && !c.confirmed.Age(at).AtMost(outageAfter)
 }
 
 // directoryFresh reports whether the directory is recent enough that an entry which
 // it lacks doesn't exist. A directory that was never confirmed isn't: an instance may have
 // got it at its start from another one that was cut off.
 func (c *Core) directoryFresh(now time.Duration) bool {
-	return c.confirmed > 0 && now-c.confirmed <= freshPeriod
+	return c.confirmed.Age(now).AtMost(freshPeriod)
 }
 
 // Decide returns what to do with a caller's packet. It allocates no memory in the
--- a/pkg/connection/forwarding/forwarding_test.go
+++ b/pkg/connection/forwarding/forwarding_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -110,7 +111,7 @@
 
 func TestNoRouteIsRefusedOnlyWhileTheConfigurationIsKnownToBeTheNewest(t *testing.T) {
 	c := newCore(deployment())
-	c.Confirm(10*time.Second, 10*time.Second)
+	c.Confirm(10*time.Second, clock.At(10*time.Second))
 	if d := c.Decide(11*time.Second, newCaller(absentRoute).open(0)); d.Verdict != forwarding.Reset || d.Reason != forwarding.NoRoute {
 		t.Errorf("1 s after the confirmation: %+v", d)
 	}
@@ -158,7 +159,7 @@
 	d := configured().WithServer(serverOf(feedService, near, 1))
 	c := newCore(d)
 	outageEnd := 20 * time.Second
-	c.Confirm(outageEnd, outageEnd)
+	c.Confirm(outageEnd, clock.At(outageEnd))
 	c.Adopt(outageEnd, configured())
 	if got := c.Decide(outageEnd+1900*time.Millisecond, newCaller(feedRoute).open(0)); got.Verdict != forwarding.Forward {
 		t.Errorf("1.9 s after the outage: %+v", got)
@@ -170,7 +171,7 @@
 
 func TestEntryThatGoesWithoutOutageIsGoneAtOnce(t *testing.T) {
 	c := newCore(configured().WithServer(serverOf(feedService, near, 1)))
-	c.Confirm(time.Second, time.Second)
+	c.Confirm(time.Second, clock.At(time.Second))
 	c.Adopt(time.Second, configured())
 	if got := c.Decide(time.Second, newCaller(feedRoute).open(0)); got.Reason != forwarding.NoServer {
 		t.Errorf("a new flow after the only server left the directory: %+v", got)
@@ -188,11 +189,11 @@
 		p, placed := opened(t, c, 0, kind.route)
 		c.Decide(time.Millisecond, p.request())
 		c.Adopt(time.Second, d.WithoutServer(placed.Server))
-		c.Confirm(3*time.Second, 3*time.Second)
+		c.Confirm(3*time.Second, clock.At(3*time.Second))
 		if got := c.Decide(3*time.Second, p.request()); got.Verdict != forwarding.Forward {
 			t.Errorf("%s, entry missing for 2 s: %+v", kind.name, got)
 		}
-		c.Confirm(4*time.Second, 4*time.Second)
+		c.Confirm(4*time.Second, clock.At(4*time.Second))
 		if got := c.Decide(4*time.Second, p.request()); got.Verdict != kind.verdict {
 			t.Errorf("%s, entry missing for 3 s: %+v", kind.name, got)
 		}
@@ -280,7 +281,7 @@
 	c := newCore(deployment())
 	outageEnd := 10 * time.Second
 	c.Adopt(outageEnd, configured())
-	c.Confirm(outageEnd+100*time.Millisecond, outageEnd)
+	c.Confirm(outageEnd+100*time.Millisecond, clock.At(outageEnd))
 	for _, now := range []time.Duration{outageEnd, outageEnd + time.Second} {
 		if d := c.Decide(now, newCaller(feedRoute).open(0)); d.Verdict != forwarding.Forward {
 			t.Errorf("%v after the outage: %v", now-outageEnd, d.Reason)
--- a/pkg/connection/forwarding/health_test.go
+++ b/pkg/connection/forwarding/health_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
@@ -146,7 +147,7 @@
 		}
 	}
 	c := forwarding.New(forwarding.Options{Name: "entry-9", DataCentre: near, Health: healthOn})
-	c.Confirm(w.now, w.now)
+	c.Confirm(w.now, clock.At(w.now))
 	c.Adopt(w.now, w.directory)
 	for n := range 2 {
 		c.ReceiveLoads(w.now, fmt.Sprint("entry-", n), w.cores[n].Loads(w.now), worldInstances)
@@ -210,7 +211,7 @@
 func TestServerOfAnotherServiceStartsWithoutEvidence(t *testing.T) {
 	d := configured().WithServer(serverOf(feedService, near, 1))
 	c := forwarding.New(forwarding.Options{Name: "entry", DataCentre: near, Seed: 1, Health: healthOn})
-	c.Confirm(0, 1)
+	c.Confirm(0, clock.At(1))
 	c.Adopt(0, d)
 	p, _ := opened(t, c, time.Second, feedRoute)
 	c.Decide(time.Second, p.request())
--- a/pkg/connection/forwarding/healthworld_test.go
+++ b/pkg/connection/forwarding/healthworld_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
@@ -135,7 +136,7 @@
 	for n := range instances {
 		core := forwarding.New(forwarding.Options{Name: fmt.Sprint("entry-", n), DataCentre: near, Seed: seed + uint64(n), ColdFactor: 1.5, ColdSlack: 5, Health: h})
 		w.cores, w.ejected = append(w.cores, core), append(w.ejected, make(map[string]bool))
-		core.Confirm(0, 1)
+		core.Confirm(0, clock.At(1))
 		core.Adopt(0, d)
 		w.after(time.Duration(n)*time.Millisecond, func() { w.tick(n) })
 		w.after(time.Duration(n)*time.Millisecond, func() { w.report(n) })
@@ -165,7 +166,7 @@
 
 func (w *healthWorld) tick(n int) {
 	c := w.cores[n]
-	c.Confirm(w.now, w.now)
+	c.Confirm(w.now, clock.At(w.now))
 	c.Tick(w.now, maxFlow)
 	for _, e := range c.HealthEvents() {
 		switch e.Now.String() {
--- a/pkg/connection/forwarding/port_reuse_test.go
+++ b/pkg/connection/forwarding/port_reuse_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -109,7 +110,7 @@
 		c.Decide(now+150*time.Millisecond, p.request())
 		before := c.Loads(now + 200*time.Millisecond)
 		c.Adopt(now+200*time.Millisecond, after)
-		c.Confirm(now+200*time.Millisecond, now+200*time.Millisecond)
+		c.Confirm(now+200*time.Millisecond, clock.At(now+200*time.Millisecond))
 		d := c.Decide(now+210*time.Millisecond, copies)
 		if d.Verdict != forwarding.Forward || uint32(d.Mark) != p.mark {
 			t.Errorf("%s: %+v", name, d)
@@ -164,7 +165,7 @@
 	c.Decide(now+10*time.Millisecond, request)
 	c.Adopt(now+time.Second, directory.New().WithConfiguration(directory.Configuration{Version: 2}))
 	for at := now + time.Second; at < now+30*time.Second; at += 200 * time.Millisecond {
-		c.Confirm(at, at)
+		c.Confirm(at, clock.At(at))
 		c.Tick(at, maxFlow)
 		if d := c.Decide(at, request); d.Verdict != forwarding.Forward {
 			t.Fatalf("%v after the request: %+v", at-now, d)
--- a/pkg/connection/forwarding/reach_test.go
+++ b/pkg/connection/forwarding/reach_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 )
 
@@ -142,7 +143,7 @@
 		}
 	}
 	c.HeardFrom(now, far)
-	c.Confirm(now, now)
+	c.Confirm(now, clock.At(now))
 	c.Tick(now, maxFlow)
 	now, _ = passTime(t, c, now, now+2*time.Second, everybody)
 	if !c.Served() {
@@ -161,7 +162,7 @@
 		now += 5 * time.Second
 		c.HeardFrom(now, far)
 		if fresh {
-			c.Confirm(now, now)
+			c.Confirm(now, clock.At(now))
 		}
 		c.Tick(now, maxFlow)
 		refused := 0
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -101,7 +101,7 @@
 // Adopt replaces the directory by a newer one.
 func (c *Core) Adopt(now time.Duration, d directory.Directory) {
 	c.markCold(now, d)
-	if c.confirmed > 0 && now-c.confirmed > outageAfter {
+	if c.outageUntil(now) {
 		// The first update after an outage, which arrives before its confirmation.
 		c.outageEnded = now
 	}
--- a/pkg/connection/forwarding/restart.go
+++ b/pkg/connection/forwarding/restart.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
 
@@ -91,9 +92,10 @@
 type RestartEvent struct {
 	Server, Service, DataCentre string
 	Outcome                     RestartOutcome
-	// SignAge is how long ago the last sign was, and ConfirmedAge how long ago the
-	// directory was known to be the newest.
-	SignAge, ConfirmedAge time.Duration
+	// SignAge is how long ago the last sign was.
+	SignAge time.Duration
+	// ConfirmedAge is how long ago the directory was known to be the newest.
+	ConfirmedAge clock.Age
 }
 
 // RestartEvents returns the events since the last call, oldest first.
@@ -174,7 +176,7 @@
 			r.recordStarted(sign)
 		}
 		switch {
-		case r.startedBy == 0 && c.confirmed >= r.lastSign+signLapse:
+		case r.startedBy == 0 && c.confirmed.NotBefore(r.lastSign+signLapse):
 			c.settle(now, v, Lapsed, r.lastSign)
 		case c.entryConfirmed(v):
 			c.settle(now, v, EntryConfirmed, r.startedBy)
@@ -187,7 +189,7 @@
 // settleRegained ends the questions about the servers of a data centre that is within reach
 // again, as the way there was at fault, once the directory was confirmed since.
 func (c *Core) settleRegained(now time.Duration, dataCentre string, r *reach) {
-	if r.regainedAt == 0 || c.confirmed < r.regainedAt {
+	if r.regainedAt == 0 || !c.confirmed.NotBefore(r.regainedAt) {
 		return
 	}
 	for _, v := range c.servers.sorted {
@@ -206,7 +208,7 @@
 	case r.firstSign == 0:
 		return c.warmUpUnconfirmed(now, v)
 	case r.startedBy == 0:
-		return c.confirmed < r.lastSign+signLapse
+		return !c.confirmed.NotBefore(r.lastSign + signLapse)
 	}
 	return !c.warmedUp(now, v) && !c.entryConfirmed(v)
 }
@@ -226,14 +228,14 @@
 // again. An entry that is missing says nothing: a server that doesn't reach the store
 // can't write it.
 func (c *Core) entryConfirmed(v *server) bool {
-	return v.restart.startedBy > 0 && !v.missing && c.confirmed >= v.restart.startedBy+entryDelay
+	return v.restart.startedBy > 0 && !v.missing && c.confirmed.NotBefore(v.restart.startedBy+entryDelay)
 }
 
 // warmUpUnconfirmed reports whether a server that should have warmed up by its entry may
 // have been started anew while it was cold. Few flows go to a cold server, so that nobody
 // may have noticed.
 func (c *Core) warmUpUnconfirmed(now time.Duration, v *server) bool {
-	if !v.coldByEntry || c.confirmed >= v.coldUntil || now >= v.coldUntil+c.coldFor(v) {
+	if !v.coldByEntry || c.confirmed.NotBefore(v.coldUntil) || now >= v.coldUntil+c.coldFor(v) {
 		return false
 	}
 	r := &v.restart
@@ -331,7 +333,7 @@
 	if len(c.restartEvents) < maxEvents {
 		c.restartEvents = append(c.restartEvents, RestartEvent{
 			Server: v.ID, Service: v.Service, DataCentre: v.DataCentre, Outcome: o,
-			SignAge: now - v.restart.lastSign, ConfirmedAge: now - c.confirmed,
+			SignAge: now - v.restart.lastSign, ConfirmedAge: c.confirmed.Age(now),
 		})
 	}
 }
--- a/pkg/connection/forwarding/restart_test.go
+++ b/pkg/connection/forwarding/restart_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -30,7 +31,7 @@
 	var cores []*forwarding.Core
 	for n, i := range d.Instances() {
 		c := forwarding.New(forwarding.Options{Name: i.Name, DataCentre: near, Seed: uint64(n), ColdFactor: 1.5, ColdSlack: 5})
-		c.Confirm(0, 1)
+		c.Confirm(0, clock.At(1))
 		c.Adopt(0, d)
 		cores = append(cores, c)
 	}
@@ -105,7 +106,7 @@
 	if placedAt(c, now, server) {
 		t.Fatal("got a flow before its entry was confirmed")
 	}
-	c.Confirm(now, now)
+	c.Confirm(now, clock.At(now))
 	if !placedAt(c, now, server) {
 		t.Error("got no flow although its entry was confirmed after it answered")
 	}
@@ -117,7 +118,7 @@
 	d := neighbours(3, 1)
 	c, server := doubted(t, d)
 	outageEnds := 2600 * time.Millisecond
-	c.Confirm(outageEnds, outageEnds)
+	c.Confirm(outageEnds, clock.At(outageEnds))
 	c.Adopt(outageEnds, d.WithoutServer(server))
 	trials, now := 0, outageEnds+10*time.Millisecond
 	for range 60 {
@@ -141,7 +142,7 @@
 func doubted(t *testing.T, d directory.Directory) (*forwarding.Core, string) {
 	t.Helper()
 	c := forwarding.New(forwarding.Options{Name: "entry-0", DataCentre: near, Seed: 1, ColdFactor: 1.5, ColdSlack: 5})
-	c.Confirm(0, 1)
+	c.Confirm(0, clock.At(1))
 	c.Adopt(0, d)
 	server := refuse(t, c)
 	c.Tick(150*time.Millisecond, maxFlow)
@@ -241,7 +242,7 @@
 		senders := make(map[string]int)
 		for _, i := range d.Instances() {
 			c := forwarding.New(forwarding.Options{Name: i.Name, DataCentre: i.DataCentre, Seed: 1, ColdFactor: 1.5, ColdSlack: 5})
-			c.Confirm(0, 1)
+			c.Confirm(0, clock.At(1))
 			c.Adopt(0, d)
 			if c.Decide(time.Millisecond, newCaller(feedRoute).open(0)).Verdict == forwarding.Forward {
 				senders[i.DataCentre]++
@@ -308,7 +309,7 @@
 		want bool
 	}{
 		{"store away", 2100 * time.Millisecond, func(*forwarding.Core) {}, false},
-		{"directory confirmed", 2100 * time.Millisecond, func(c *forwarding.Core) { c.Confirm(2*time.Second, 2*time.Second) }, true},
+		{"directory confirmed", 2100 * time.Millisecond, func(c *forwarding.Core) { c.Confirm(2*time.Second, clock.At(2*time.Second)) }, true},
 		{"entry says warm", 2100 * time.Millisecond, func(c *forwarding.Core) {
 			warm := cold
 			warm.ColdLeft, warm.Revision = 0, 2
@@ -347,7 +348,7 @@
 		verdicts := make(map[forwarding.Verdict]int)
 		for _, i := range d.Instances() {
 			c := forwarding.New(forwarding.Options{Name: i.Name, DataCentre: near, Seed: 1, ColdFactor: 1.5, ColdSlack: 5})
-			c.Confirm(0, 1)
+			c.Confirm(0, clock.At(1))
 			c.Adopt(0, d)
 			verdicts[c.Decide(test.at, newCaller(feedRoute).open(test.copies)).Verdict]++
 		}
--- a/pkg/connection/forwarding/suspended_test.go
+++ b/pkg/connection/forwarding/suspended_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 )
 
@@ -42,7 +43,7 @@
 	if d := c.Decide(200*time.Millisecond, newCaller(absentRoute).open(0)); d.Verdict != forwarding.Drop {
 		t.Errorf("%+v", d)
 	}
-	c.Confirm(300*time.Millisecond, 250*time.Millisecond)
+	c.Confirm(300*time.Millisecond, clock.At(250*time.Millisecond))
 	if d := c.Decide(300*time.Millisecond, newCaller(absentRoute).open(0)); d.Verdict != forwarding.Reset {
 		t.Errorf("confirmed: %+v", d)
 	}
--- a/pkg/connection/forwarding/world_test.go
+++ b/pkg/connection/forwarding/world_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
@@ -75,7 +76,7 @@
 
 func newCoreWith(h forwarding.HealthOptions, d directory.Directory) *forwarding.Core {
 	c := forwarding.New(forwarding.Options{Name: "entry", DataCentre: near, Seed: 1, ColdFactor: 1.5, ColdSlack: 5, Health: h})
-	c.Confirm(0, 1)
+	c.Confirm(0, clock.At(1))
 	c.Adopt(0, d)
 	return c
 }
--- a/pkg/process/entry/decider.go
+++ b/pkg/process/entry/decider.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
@@ -32,9 +33,8 @@
 	resetBuffer []byte
 	// lastPacket is when the latest packet arrived, in nanoseconds since the start.
 	lastPacket atomic.Int64
-	// confirmedAt is when the directory was last known to be the newest, in
-	// nanoseconds since the start.
-	confirmedAt atomic.Int64
+	// confirmedAt is when the directory was last known to be the newest, nil for never.
+	confirmedAt atomic.Pointer[clock.Time]
 	// maxFlow is how long a flow may last, in nanoseconds.
 	maxFlow     atomic.Int64
 	peerReports chan peerLoads
@@ -112,7 +112,18 @@
 }
 
 // confirm records the time at which the directory was last known to be the newest.
-func (d *decider) confirm(at time.Duration) { d.confirmedAt.Store(int64(at)) }
+func (d *decider) confirm(at clock.Time) { d.confirmedAt.Store(&at) }
+
+// confirmed returns the time at which the directory was last known to be the newest.
+func (d *decider) confirmed() clock.Time {
+	if at := d.confirmedAt.Load(); at != nil {
+		return *at
+	}
+	return clock.Time{}
+}
+
+// confirmCore passes the last confirmation to the core.
+func (d *decider) confirmCore(now time.Duration) { d.core.Confirm(now, d.confirmed()) }
 
 // queuePeerLoads passes another instance's loads to the decider. A full queue drops
 // them, since the next report follows soon.
@@ -237,7 +248,7 @@
 }
 
 func (d *decider) applyDirectory(next directory.Directory) {
-	d.core.Confirm(d.host.Now(), time.Duration(d.confirmedAt.Load()))
+	d.confirmCore(d.host.Now())
 	d.core.Adopt(d.host.Now(), next)
 	d.version = next.Version()
 	if next.Version() > 0 {
@@ -284,7 +295,7 @@
 	now := d.host.Now()
 	d.lastPacket.Store(int64(now))
 	d.checkSuspension(now)
-	d.core.Confirm(now, time.Duration(d.confirmedAt.Load()))
+	d.confirmCore(now)
 	return now
 }
 
@@ -318,7 +329,7 @@
 		id = d.options.Format.RequestID(datagram[d.options.Format.Headroom():])
 	}
 	d.observer.recordDecision(s, decision, decisionInputs{
-		requestID: id, version: uint64(d.version), confirmedAge: now - time.Duration(d.confirmedAt.Load()),
+		requestID: id, version: uint64(d.version), confirmedAge: d.confirmed().Age(now),
 	})
 	switch decision.Verdict {
 	case forwarding.Forward:
--- a/pkg/process/entry/engine.go
+++ b/pkg/process/entry/engine.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/transfer"
 	"github.com/tanagerweir/tanagerweir/pkg/version/replica"
@@ -64,7 +65,7 @@
 		Health:    o.Health,
 		Admission: o.Admission, Off: o.Off,
 	})
-	metrics := newMetrics(o.Store.CallCounts, func() time.Duration { return h.Now() - time.Duration(e.decider.confirmedAt.Load()) }, o.Off)
+	metrics := newMetrics(o.Store.CallCounts, func() clock.Age { return e.decider.confirmed().Age(h.Now()) }, o.Off)
 	metrics.countPanics(e.guards)
 	if o.Health.Active() {
 		metrics.registerHealth()
--- a/pkg/process/entry/freshness.go
+++ b/pkg/process/entry/freshness.go
@@ -70,7 +70,7 @@
 func (d *decider) checkSuspension(now time.Duration) {
 	if gap := d.suspension.recordActive(now); gap > 0 {
 		d.observer.log.WarnContext(logs.Always(), "Instance: was suspended; new flows wait until the directory is confirmed.",
-			"For", gap, "ConfirmedAge", now-time.Duration(d.confirmedAt.Load()))
+			"For", gap, "ConfirmedAge", d.confirmed().Age(now))
 	}
 }
 
@@ -78,5 +78,5 @@
 // confirmed since a suspension. Servers may have left and data centres may be out by now.
 func (d *decider) awaitsConfirmation(now time.Duration, s segment.Segment) bool {
 	resumed := d.suspension.resumedAt
-	return resumed > 0 && now-resumed <= resumeLimit && time.Duration(d.confirmedAt.Load()) < resumed && s.Flags.Has(segment.Open)
+	return resumed > 0 && now-resumed <= resumeLimit && !d.confirmed().NotBefore(resumed) && s.Flags.Has(segment.Open)
 }
--- a/pkg/process/entry/freshness_test.go
+++ b/pkg/process/entry/freshness_test.go
@@ -102,7 +102,7 @@
 	e.SendState()
 	for _, m := range host.messages {
 		sent, err := wire.Decode(m)
-		if err != nil || sent.Hello.ConfirmedAge < 5*time.Second || sent.Hello.ProgressAge < 5*time.Second {
+		if err != nil || sent.Hello.ConfirmedAge.AtMost(5*time.Second-1) || sent.Hello.ProgressAge.AtMost(5*time.Second-1) {
 			t.Errorf("sent %+v, error %v", sent.Hello, err)
 		}
 	}
--- a/pkg/process/entry/metrics.go
+++ b/pkg/process/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/process/build"
@@ -44,7 +46,7 @@
 	demandMetrics
 }
 
-func newMetrics(calls func() map[string]uint64, confirmedAge func() time.Duration, switchedOff mechanism.Set) *metrics {
+func newMetrics(calls func() map[string]uint64, confirmedAge func() clock.Age, switchedOff mechanism.Set) *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
 	m.demandMetrics = newDemandMetrics(m.registry)
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -74,8 +76,14 @@
 		m.restarts = append(m.restarts, restarts.WithLabelValues(r.String()))
 	}
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "tanagerweir_entry_confirmed_age_seconds", Help: "Time since the configuration was known to be the newest.",
-	}, func() float64 { return confirmedAge().Seconds() })
+		Name: "tanagerweir_entry_confirmed_age_seconds", Help: "Time since the configuration was known to be the newest, infinite if it never was.",
+	}, func() float64 {
+		age := confirmedAge()
+		if !age.Known() {
+			return math.Inf(1)
+		}
+		return age.Or(0).Seconds()
+	})
 	off := prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "tanagerweir_entry_mechanism_off", Help: "1 for each mechanism that the policy switches off.",
 	}, []string{"mechanism"})
--- a/pkg/process/entry/observer.go
+++ b/pkg/process/entry/observer.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
@@ -37,7 +38,7 @@
 	// version is the version of the configuration in force.
 	version uint64
 	// confirmedAge is how long ago the directory was known to be the newest.
-	confirmedAge time.Duration
+	confirmedAge clock.Age
 }
 
 // recordDecision counts a decision, and logs it if it begins, ends or answers a
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/process/logs"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
@@ -131,7 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.members.Confirm(confirmedAt)
-	s.decider.confirm(confirmedAt)
+	s.decider.confirm(s.members.Confirmed())
 }
 
 // applyBatch applies a batch to the replica and the directory. It returns false if
@@ -288,7 +289,7 @@
 		s.log.InfoContext(logs.Always(), "Follower: stops following the store, as another instance does.",
 			"Other", h.From.Name, "Follower", s.members.Follower(), "FollowerAge", s.members.FollowerAge(at), "ProgressAge", s.members.ProgressAge(at))
 	}
-	s.decider.confirm(s.now() - s.members.ConfirmedAge(s.now()))
+	s.decider.confirm(s.members.Confirmed())
 	return !before.covers(own), !own.covers(positionOf(h))
 }
 
@@ -315,8 +316,9 @@
 
 // logCutOff logs when the instance becomes cut off, and when that is over. Age is
 // the time since the replica's last confirmation.
-func (s *state) logCutOff(age time.Duration) {
-	switch cutOff := age > cutOffAfter; {
+func (s *state) logCutOff(age clock.Age) {
+	cutOff := age.Or(s.now()) > cutOffAfter
+	switch {
 	case cutOff && !s.cutOff:
 		s.log.WarnContext(logs.Always(), "Instance: cut off from the store and from instances that reach it.",
 			"ConfirmedAge", age, "Version", s.directory.Version(), "Revision", s.replica.Revision())
@@ -324,7 +326,7 @@
 		s.log.InfoContext(logs.Always(), "Instance: the configuration is confirmed again.",
 			"ConfirmedAge", age, "Version", s.directory.Version(), "Revision", s.replica.Revision())
 	}
-	s.cutOff = age > cutOffAfter
+	s.cutOff = cutOff
 }
 
 // since returns the changes that bring a replica at the given position up to date.
--- a/pkg/process/membership/era_test.go
+++ b/pkg/process/membership/era_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
 )
 
@@ -25,7 +26,7 @@
 		now := time.Duration(0)
 		for ; now < 3*time.Second; now += period {
 			// The older era's revision is the higher one, so that "current" is false.
-			core.ReceiveHello(now, membership.Hello{From: other, Era: era, Revision: 900, Following: true}, false)
+			core.ReceiveHello(now, membership.Hello{From: other, Era: era, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, false)
 		}
 		if !core.UpdateFollowing(now) || core.Follower() != "" {
 			t.Errorf("era %d: following %v, follower %q", era, core.Following(), core.Follower())
@@ -49,7 +50,7 @@
 		core.SetEra(2)
 		now := time.Minute
 		core.UpdateFollowing(now)
-		core.ReceiveHello(now, membership.Hello{From: older, Era: 1, Revision: 900, Following: true}, false)
+		core.ReceiveHello(now, membership.Hello{From: older, Era: 1, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, false)
 		if !core.Following() {
 			t.Errorf("reversed %v: the follower of the newer era stopped", reversed)
 		}
@@ -65,7 +66,7 @@
 		core.SetRegistered(0, []membership.Member{older, newer})
 		core.SetEra(1)
 		core.UpdateFollowing(time.Minute)
-		core.ReceiveHello(time.Minute, membership.Hello{From: newer, Era: 2, Revision: 5, Following: true}, false)
+		core.ReceiveHello(time.Minute, membership.Hello{From: newer, Era: 2, Revision: 5, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, false)
 		if !core.Following() {
 			stopped++
 		}
@@ -83,7 +84,7 @@
 	core.SetRegistered(0, []membership.Member{self, other})
 	core.SetEra(1)
 	now := time.Minute
-	core.ReceiveHello(now, membership.Hello{From: other, Era: 1, Revision: 900, Following: true}, true)
+	core.ReceiveHello(now, membership.Hello{From: other, Era: 1, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, true)
 	core.SetEra(2)
 	now += time.Second
 	if core.UpdateFollowing(now) {
@@ -92,7 +93,7 @@
 	if h := core.Hello(now); h.Era != 2 || h.Follower != "" {
 		t.Errorf("names a follower of the older era: %+v", h)
 	}
-	core.ReceiveHello(now, membership.Hello{From: other, Era: 2, Revision: 5, Following: true}, true)
+	core.ReceiveHello(now, membership.Hello{From: other, Era: 2, Revision: 5, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, true)
 	if h := core.Hello(now); h.Follower != other.Name {
 		t.Errorf("doesn't name the follower of the newer era: %+v", h)
 	}
@@ -105,7 +106,7 @@
 	core := membership.New(self, nil, 1)
 	core.SetRegistered(0, []membership.Member{self, other})
 	core.SetEra(1)
-	core.ReceiveHello(time.Minute, membership.Hello{From: other, Era: 2, Revision: 5, Following: true}, false)
+	core.ReceiveHello(time.Minute, membership.Hello{From: other, Era: 2, Revision: 5, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, false)
 	core.SetEra(2)
 	if h := core.Hello(time.Minute); h.Follower != other.Name {
 		t.Errorf("follower %q", h.Follower)
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -35,6 +35,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 )
 
 const (
@@ -55,8 +57,6 @@
 	// yieldMaxAge is how long ago another follower may at most have been known to
 	// follow for this instance to stop following.
 	yieldMaxAge = 1500 * time.Millisecond
-	// neverSeen is a time that is longer than yieldMaxAge before any other.
-	neverSeen = -2 * yieldMaxAge
 	// maxTransfer is how long other instances wait for a follower that is receiving a
 	// large change: then they follow too, in case their links are faster. A
 	// configuration of 400 KB takes 1.7 s on a link of 2 Mbit/s.
@@ -94,14 +94,15 @@
 	// Era and Revision are the position of the sender's replica. Revision is 0 if it has
 	// none, and Era if it is unknown.
 	Era, Revision uint64
-	// ConfirmedAge is how long ago the sender's replica was known to be the newest.
-	ConfirmedAge time.Duration
+	// ConfirmedAge is how long ago the sender's replica was known to be the newest, never
+	// if nobody has said so since the sender's start.
+	ConfirmedAge clock.Age
 	// EarlyRevision is the revision of the latest change that the sender's replica has
 	// beyond Revision, 0 if it has none.
 	EarlyRevision uint64
 	// ProgressAge is how long ago a follower that the sender knows of, or the sender
 	// itself, was receiving something from the store; it is at most ConfirmedAge.
-	ProgressAge time.Duration
+	ProgressAge clock.Age
 	// Following is set if the sender follows the store.
 	Following bool
 	// Follower is the name of the follower with the lowest rank that the sender
@@ -134,10 +135,10 @@
 	centres  []string
 	seeds    []netip.AddrPort
 	random   *rand.Rand
-	// confirmedAt is when the replica was last known to be the newest.
-	confirmedAt time.Duration
-	// progressAt is when a follower was last known to receive something from the store.
-	progressAt time.Duration
+	// confirmed is when the replica was last known to be the newest.
+	confirmed clock.Time
+	// progress is when a follower was last known to receive something from the store.
+	progress clock.Time
 	// confirmedBy and progressBy are the names of the instances that said so.
 	confirmedBy, progressBy string
 	// followAfter is StaleAfter with this instance's share of staleJitter, and
@@ -150,7 +151,7 @@
 	// follower is the name of the known other follower with the lowest rank, empty
 	// if there was none yet, and followerSeen when it was last known to follow.
 	follower     string
-	followerSeen time.Duration
+	followerSeen clock.Time
 	// era is the era of the replica, see SetEra, and followerEra the highest of the hellos
 	// that named the follower.
 	era, followerEra uint64
@@ -240,7 +241,7 @@
 	}
 	c.era = era
 	if c.followerEra < era {
-		c.followerSeen = neverSeen
+		c.followerSeen = clock.Time{}
 	}
 }
 
@@ -258,16 +259,16 @@
 		return
 	}
 	if current {
-		c.confirm(now-h.ConfirmedAge, h.From.Name)
+		c.confirm(h.ConfirmedAge.Before(now), h.From.Name)
 	}
-	c.recordProgress(now-h.ProgressAge, h.From.Name)
-	if h.Following && !h.Leaving && h.ProgressAge <= yieldMaxAge {
+	c.recordProgress(h.ProgressAge.Before(now), h.From.Name)
+	if h.Following && !h.Leaving && h.ProgressAge.AtMost(yieldMaxAge) {
 		c.noteFollower(now, h.From.Name, h.Era, now)
 	}
 	if h.Follower != "" {
 		c.noteFollower(now, h.Follower, h.Era, now-h.FollowerAge)
 	}
-	if c.following && c.follower != "" && rankOf(c.follower) < c.rank && now-c.followerSeen <= yieldMaxAge {
+	if c.following && rankOf(c.follower) < c.rank && c.followerFollows(now) {
 		c.following = false
 	}
 }
@@ -279,40 +280,48 @@
 	switch {
 	case name == c.self.Name || now-seen > yieldMaxAge:
 	case name == c.follower:
-		c.followerSeen, c.followerEra = max(c.followerSeen, seen), max(c.followerEra, era)
-	case c.follower == "" || now-c.followerSeen > yieldMaxAge || rankOf(name) < rankOf(c.follower):
-		c.follower, c.followerSeen, c.followerEra = name, seen, era
+		c.followerSeen, c.followerEra = c.followerSeen.Latest(clock.At(seen)), max(c.followerEra, era)
+	case !c.followerFollows(now) || rankOf(name) < rankOf(c.follower):
+		c.follower, c.followerSeen, c.followerEra = name, clock.At(seen), era
 	}
 }
 
+// followerFollows reports whether another follower is known, and was known to follow lately.
+func (c *Core) followerFollows(now time.Duration) bool {
+	return c.followerSeen.Age(now).AtMost(yieldMaxAge)
+}
+
 // Confirm records that this instance's replica was the newest at the given time, as the
 // store said. Earlier times than the known one have no effect.
-func (c *Core) Confirm(confirmedAt time.Duration) { c.confirm(confirmedAt, c.self.Name) }
+func (c *Core) Confirm(at time.Duration) { c.confirm(clock.At(at), c.self.Name) }
 
-func (c *Core) confirm(at time.Duration, by string) {
-	if at > c.confirmedAt {
-		c.confirmedAt, c.confirmedBy = at, by
+func (c *Core) confirm(at clock.Time, by string) {
+	if latest := c.confirmed.Latest(at); latest != c.confirmed {
+		c.confirmed, c.confirmedBy = latest, by
 	}
 }
 
 // Progress records that this instance was receiving something from the store at the given
 // time.
-func (c *Core) Progress(at time.Duration) { c.recordProgress(at, c.self.Name) }
+func (c *Core) Progress(at time.Duration) { c.recordProgress(clock.At(at), c.self.Name) }
 
-func (c *Core) recordProgress(at time.Duration, by string) {
-	if at > c.progressAt {
-		c.progressAt, c.progressBy = at, by
+func (c *Core) recordProgress(at clock.Time, by string) {
+	if latest := c.progress.Latest(at); latest != c.progress {
+		c.progress, c.progressBy = latest, by
 	}
 }
 
 // ProgressAge returns how long ago a follower was known to receive something from the
 // store.
-func (c *Core) ProgressAge(now time.Duration) time.Duration {
-	return now - max(c.progressAt, c.confirmedAt)
+func (c *Core) ProgressAge(now time.Duration) clock.Age {
+	return c.progress.Latest(c.confirmed).Age(now)
 }
 
-// ConfirmedAge returns how long ago the replica was known to be the newest.
-func (c *Core) ConfirmedAge(now time.Duration) time.Duration { return now - c.confirmedAt }
+// Confirmed returns when the replica was last known to be the newest.
+func (c *Core) Confirmed() clock.Time { return c.confirmed }
+
+// ConfirmedAge returns how long ago that was.
+func (c *Core) ConfirmedAge(now time.Duration) clock.Age { return c.confirmed.Age(now) }
 
 // MaxConfirmedAge returns how old the replica's confirmation may be before this
 // instance follows the store. It grows with the size of data centres.
@@ -328,11 +337,11 @@
 
 // UpdateFollowing reports whether this instance has to follow the store. It starts to
 // follow when the replica's confirmation has become too old, unless a follower is
-// receiving a change.
+// receiving a change. An instance whose replica was never confirmed waits from its start on.
 func (c *Core) UpdateFollowing(now time.Duration) bool {
-	age := c.ConfirmedAge(now)
+	age := c.ConfirmedAge(now).Or(now)
 	if age <= maxTransfer {
-		age = c.ProgressAge(now)
+		age = c.ProgressAge(now).Or(now)
 	}
 	if !c.following && age > c.MaxConfirmedAge() {
 		c.following = true
@@ -344,8 +353,8 @@
 // Leaving are left for the caller to set; Era is that of SetEra.
 func (c *Core) Hello(now time.Duration) Hello {
 	h := Hello{From: c.self, Era: c.era, ConfirmedAge: c.ConfirmedAge(now), ProgressAge: c.ProgressAge(now), Following: c.following}
-	if c.follower != "" && now-c.followerSeen <= yieldMaxAge {
-		h.Follower, h.FollowerAge = c.follower, now-c.followerSeen
+	if c.followerFollows(now) {
+		h.Follower, h.FollowerAge = c.follower, c.followerSeen.Age(now).Or(0)
 	}
 	return h
 }
@@ -357,7 +366,7 @@
 func (c *Core) Follower() string { return c.follower }
 
 // FollowerAge returns how long ago the last known other follower was known to follow.
-func (c *Core) FollowerAge(now time.Duration) time.Duration { return now - c.followerSeen }
+func (c *Core) FollowerAge(now time.Duration) clock.Age { return c.followerSeen.Age(now) }
 
 // ConfirmedBy returns the name of the instance by whose word the replica was last confirmed,
 // empty for none, and ProgressBy that of the one that last told of progress.
--- a/pkg/process/membership/membership_test.go
+++ b/pkg/process/membership/membership_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
 )
 
@@ -86,11 +87,14 @@
 	return n
 }
 
+// never is the age of a confirmation that an instance lacks.
+const never = time.Hour
+
 // oldest returns the age of the oldest confirmation of any instance.
 func (f *fleet) oldest() time.Duration {
 	var oldest time.Duration
 	for _, core := range f.cores {
-		oldest = max(oldest, core.ConfirmedAge(f.now))
+		oldest = max(oldest, core.ConfirmedAge(f.now).Or(never))
 	}
 	return oldest
 }
@@ -124,7 +128,7 @@
 	f.cut = func(from, to int) bool { return from == follower || to == follower }
 	f.run(3 * time.Second)
 	for i, core := range f.cores {
-		if i != follower && core.ConfirmedAge(f.now) > core.MaxConfirmedAge() {
+		if i != follower && !core.ConfirmedAge(f.now).AtMost(core.MaxConfirmedAge()) {
 			t.Errorf("instance %d has a replica of age %v", i, core.ConfirmedAge(f.now))
 		}
 	}
@@ -271,7 +275,7 @@
 			core.Confirm(0)
 			followsAt := time.Duration(0)
 			for now := time.Duration(0); followsAt == 0 && now < time.Minute; now += period {
-				core.ReceiveHello(now, membership.Hello{From: follower, Following: true, ConfirmedAge: now, ProgressAge: c.progressAge(now)}, true)
+				core.ReceiveHello(now, membership.Hello{From: follower, Following: true, ConfirmedAge: clock.Ago(now), ProgressAge: clock.Ago(c.progressAge(now))}, true)
 				if core.UpdateFollowing(now) {
 					followsAt = now
 				}
--- /dev/null
+++ b/pkg/process/membership/unconfirmed_test.go
@@ -0,0 +1,51 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
+	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
+)
+
+// Guards against an instance that knows nothing yet and says how long ago it started instead:
+// no age that it sends may be that of its start, whether it has keys or not.
+func TestHelloOfANewInstanceConfirmsNothing(t *testing.T) {
+	self, other := pair(t)
+	fresh := membership.New(self, nil, 1)
+	h := fresh.Hello(200 * time.Millisecond)
+	if d := cmp.Diff([]clock.Age{{}, {}}, []clock.Age{h.ConfirmedAge, h.ProgressAge}); d != "" {
+		t.Error(d)
+	}
+	for _, current := range []bool{false, true} {
+		core := membership.New(other, nil, 1)
+		core.Confirm(time.Minute)
+		h.Revision = 8
+		core.ReceiveHello(time.Minute+time.Second, h, current)
+		if got := core.ConfirmedAge(time.Minute + time.Second); got != clock.Ago(time.Second) {
+			t.Errorf("current %v: the replica counts as confirmed %v ago", current, got)
+		}
+		if got := core.ProgressAge(time.Minute + time.Second); got != clock.Ago(time.Second) {
+			t.Errorf("current %v: a follower received something %v ago", current, got)
+		}
+	}
+}
+
+// An instance that was never confirmed must read the store itself as soon as one that was
+// confirmed when it started.
+func TestUnconfirmedInstanceFollowsSoonAfterItsStart(t *testing.T) {
+	self, other := pair(t)
+	core := membership.New(self, nil, 1)
+	hello := membership.Hello{From: other, Following: true, ProgressAge: clock.Ago(0)}
+	core.ReceiveHello(0, hello, false)
+	now := time.Duration(0)
+	for ; !core.UpdateFollowing(now) && now < time.Minute; now += period {
+		continue
+	}
+	const jitter = 400 * time.Millisecond
+	if now < membership.StaleAfter || now > membership.StaleAfter+jitter+period {
+		t.Errorf("follows %v after its start", now)
+	}
+}
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
@@ -45,10 +46,10 @@
 			Name: m.Hello.From.Name, DataCentre: m.Hello.From.DataCentre,
 			Address: addressToWire(m.Hello.From.Endpoint), Port: uint32(m.Hello.From.Endpoint.Port()),
 		},
-		Revision: m.Hello.Revision, ConfirmedAgeMilliseconds: toMilliseconds(m.Hello.ConfirmedAge),
+		Revision: m.Hello.Revision, ConfirmedAgeMilliseconds: ageToWire(m.Hello.ConfirmedAge),
 		Following: m.Hello.Following, Leaving: m.Hello.Leaving,
 		Follower: m.Hello.Follower, FollowerAgeMilliseconds: toMilliseconds(m.Hello.FollowerAge),
-		Era: m.Hello.Era, EarlyRevision: m.Hello.EarlyRevision, ProgressAgeMilliseconds: proto.Uint32(toMilliseconds(m.Hello.ProgressAge)),
+		Era: m.Hello.Era, EarlyRevision: m.Hello.EarlyRevision, ProgressAgeMilliseconds: proto.Uint32(ageToWire(m.Hello.ProgressAge)),
 	}
 	w.Answer = m.Answer
 	for _, a := range m.Asked {
@@ -93,13 +94,13 @@
 		From: membership.Member{
 			Name: from.GetName(), DataCentre: from.GetDataCentre(), Endpoint: endpointFromWire(from.GetAddress(), from.GetPort()),
 		},
-		Revision: w.GetRevision(), ConfirmedAge: fromMilliseconds(w.GetConfirmedAgeMilliseconds()),
+		Revision: w.GetRevision(), ConfirmedAge: ageFromWire(w.GetConfirmedAgeMilliseconds()),
 		Following: w.GetFollowing(), Leaving: w.GetLeaving(),
 		Follower: w.GetFollower(), FollowerAge: fromMilliseconds(w.GetFollowerAgeMilliseconds()),
-		Era: w.GetEra(), EarlyRevision: w.GetEarlyRevision(), ProgressAge: fromMilliseconds(w.GetConfirmedAgeMilliseconds()),
+		Era: w.GetEra(), EarlyRevision: w.GetEarlyRevision(), ProgressAge: ageFromWire(w.GetConfirmedAgeMilliseconds()),
 	}}
 	if w.ProgressAgeMilliseconds != nil {
-		m.Hello.ProgressAge = fromMilliseconds(w.GetProgressAgeMilliseconds())
+		m.Hello.ProgressAge = ageFromWire(w.GetProgressAgeMilliseconds())
 	}
 	m.Answer = w.GetAnswer()
 	for _, a := range w.GetAsked() {
@@ -197,6 +198,19 @@
 	return time.Duration(milliseconds) * time.Millisecond
 }
 
+// neverMilliseconds is the age of what never was. Earlier versions take it for 24 days, which
+// is longer than any of their limits.
+const neverMilliseconds = math.MaxInt32
+
+func ageToWire(a clock.Age) uint32 { return toMilliseconds(a.Or(neverMilliseconds * time.Millisecond)) }
+
+func ageFromWire(milliseconds uint32) clock.Age {
+	if milliseconds >= neverMilliseconds {
+		return clock.Age{}
+	}
+	return clock.Ago(fromMilliseconds(milliseconds))
+}
+
 // addressToWire returns an IPv4 address as a number, and 0 for any other.
 func addressToWire(endpoint netip.AddrPort) uint32 {
 	if !endpoint.Addr().Is4() {
--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/admission"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
@@ -21,9 +22,9 @@
 var sample = entry.Message{
 	Hello: membership.Hello{
 		From:     membership.Member{Name: "entry-1", DataCentre: "dakar-1", Endpoint: netip.MustParseAddrPort("10.1.0.10:7720")},
-		Revision: 412, ConfirmedAge: 700 * time.Millisecond, Following: true, Leaving: true,
+		Revision: 412, ConfirmedAge: clock.Ago(700 * time.Millisecond), Following: true, Leaving: true,
 		Follower: "entry-2", FollowerAge: 250 * time.Millisecond,
-		Era: 3, EarlyRevision: 415, ProgressAge: 50 * time.Millisecond,
+		Era: 3, EarlyRevision: 415, ProgressAge: clock.Ago(50 * time.Millisecond),
 	},
 	Loads: []forwarding.Load{{
 		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second, ColdLeft: time.Second,
@@ -62,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if m.Hello.ProgressAge != 900*time.Millisecond {
+	if m.Hello.ProgressAge != clock.Ago(900*time.Millisecond) {
 		t.Errorf("progress %v ago", m.Hello.ProgressAge)
 	}
 }
--- a/service/entry/fuzz_test.go
+++ b/service/entry/fuzz_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
@@ -106,7 +107,7 @@
 			applyToReplica(t, *m.Batch)
 		}
 		core := forwarding.New(forwarding.Options{Name: "entry-2", DataCentre: "dakar-1", Seed: 1, ColdFactor: 1.5, ColdSlack: 5})
-		core.Confirm(now, now)
+		core.Confirm(now, clock.At(now))
 		core.Adopt(now, known())
 		core.ReceiveLoads(now, m.Hello.From.Name, m.Loads, 3)
 		core.HeardFrom(now, m.Hello.From.DataCentre)
