Let only followers that read the store stop others from following

Cause: a follower counted as one that reads by how long ago its replica was confirmed or anybody's progress was known, which the others' messages kept short. An instance that had just started, and followed, counted as well. Done: messages name the follower, which may be the sender, and say how long ago that one received something from the store itself; it counts for 1.7 s. A follower that has read nothing for that long stops for any that reads. The age of progress that others told is no longer sent on: the reading of the known follower takes its place. Instances of earlier versions are understood as far as their messages say it. Ruled out: no bound of time was changed but the one on a follower's age, which was 1.5 s since its last message. TestFollowersOfEarlierVersions takes the place of TestHelloWithoutProgressCountsFromTheConfirmation, whose case it has.

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -83,6 +83,14 @@
 	return a.duration
 }
 
+// Newest returns the smaller one of two ages.
+func Newest(a, b Age) Age {
+	if !a.known || b.known && b.duration < a.duration {
+		return b
+	}
+	return a
+}
+
 // Before returns the time that was so long before now.
 func (a Age) Before(now time.Duration) Time {
 	if !a.known {
--- a/pkg/process/entry/era_test.go
+++ b/pkg/process/entry/era_test.go
@@ -108,11 +108,11 @@
 	peer := membership.Member{Name: "peer", DataCentre: o.DataCentre, Endpoint: freeEndpoint(t)}
 	for _, era := range []uint64{0, 4, 6} {
 		batch := replica.Batch{Era: era, After: 1, Revision: 900, Changes: []replica.Change{{Key: "servers/i-1", Value: v.describe("ready"), Revision: 900}}}
-		send(t, o.Peers, message(t, membership.Hello{From: peer, Era: era, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, &batch))
+		send(t, o.Peers, message(t, membership.Hello{From: peer, Era: era, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), Follower: peer.Name, FollowerAge: clock.Ago(0)}, &batch))
 	}
 	// The instance has no other confirmation, and is cut off in spite of the messages.
 	waitUntil(t, "the instance is cut off", func() bool {
-		send(t, o.Peers, message(t, membership.Hello{From: peer, Era: 4, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, nil))
+		send(t, o.Peers, message(t, membership.Hello{From: peer, Era: 4, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), Follower: peer.Name, FollowerAge: clock.Ago(0)}, nil))
 		return strings.Contains(log.String(), "cut off from the store")
 	})
 	if strings.Contains(log.String(), "i-1") {
--- a/pkg/process/entry/freshness_test.go
+++ b/pkg/process/entry/freshness_test.go
@@ -102,7 +102,7 @@
 	e.SendState()
 	for _, m := range host.messages {
 		sent, err := wire.Decode(m)
-		if err != nil || sent.Hello.ConfirmedAge.AtMost(5*time.Second-1) || sent.Hello.ProgressAge.AtMost(5*time.Second-1) {
+		if err != nil || sent.Hello.ConfirmedAge.AtMost(5*time.Second-1) || sent.Hello.FollowerAge.AtMost(5*time.Second-1) {
 			t.Errorf("sent %+v, error %v", sent.Hello, err)
 		}
 	}
--- a/pkg/process/entry/fuzz_test.go
+++ b/pkg/process/entry/fuzz_test.go
@@ -99,7 +99,7 @@
 	t.Helper()
 	datagram, err := wire.Encode(wire.Message{Batch: b, Hello: membership.Hello{
 		From:     membership.Member{Name: name, DataCentre: "near", Endpoint: netip.MustParseAddrPort("127.0.0.1:7721")},
-		Revision: revision, ConfirmedAge: clock.Ago(confirmedAge), ProgressAge: clock.Ago(confirmedAge),
+		Revision: revision, ConfirmedAge: clock.Ago(confirmedAge), Follower: name, FollowerAge: clock.Ago(confirmedAge),
 	}})
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -121,8 +121,7 @@
 	if following && !before {
 		s.log.InfoContext(logs.Always(), "Follower: begins to follow the store.",
 			"ConfirmedAge", s.members.ConfirmedAge(now), "ConfirmedBy", s.members.ConfirmedBy(),
-			"ProgressAge", s.members.ProgressAge(now), "ProgressBy", s.members.ProgressBy(),
-			"Follower", s.members.Follower(), "FollowerAge", s.members.FollowerAge(now), "Revision", s.replica.Revision())
+			"Follower", s.members.Follower(), "ReadAge", s.members.ReadAge(now), "ReadBy", s.members.ReadBy(), "Revision", s.replica.Revision())
 	}
 	return following
 }
@@ -287,7 +286,7 @@
 	}
 	if following && !s.members.Following() {
 		s.log.InfoContext(logs.Always(), "Follower: stops following the store, as another instance does.",
-			"Other", h.From.Name, "Follower", s.members.Follower(), "FollowerAge", s.members.FollowerAge(at), "ProgressAge", s.members.ProgressAge(at))
+			"Other", h.From.Name, "Follower", h.Follower, "ReadAge", h.FollowerAge, "ConfirmedAge", s.members.ConfirmedAge(at))
 	}
 	s.decider.confirm(s.members.Confirmed())
 	return !before.covers(own), !own.covers(positionOf(h))
--- a/pkg/process/entry/unconfirmed_test.go
+++ b/pkg/process/entry/unconfirmed_test.go
@@ -34,7 +34,7 @@
 	host := &stillHost{}
 	const stale = 1600 * time.Millisecond
 	e := newEngineAt(t, host, 300*time.Millisecond, stale, io.Discard)
-	if sent := sentHello(t, e, host); sent.Hello.Revision == 0 || sent.Hello.ConfirmedAge.AtMost(stale-1) || sent.Hello.ProgressAge.AtMost(stale-1) {
+	if sent := sentHello(t, e, host); sent.Hello.Revision == 0 || sent.Hello.ConfirmedAge.AtMost(stale-1) || sent.Hello.FollowerAge.AtMost(stale-1) {
 		t.Errorf("0.3 s after its start, with keys confirmed %v ago, the instance sent %+v", stale, sent.Hello)
 	}
 }
--- a/pkg/process/explanation/explanation.go
+++ b/pkg/process/explanation/explanation.go
@@ -127,7 +127,7 @@
 }
 
 // durationFields are the fields whose values are durations in nanoseconds.
-var durationFields = []string{"ConfirmedAge", "ProgressAge", "FollowerAge", "SilentFor", "SignAge", "ColdLeft", "After", "Grace", "MaxFlow", "Waited", "Wait", "Limit", "Lasted"}
+var durationFields = []string{"ConfirmedAge", "ReadAge", "SilentFor", "SignAge", "ColdLeft", "After", "Grace", "MaxFlow", "Waited", "Wait", "Limit", "Lasted"}
 
 // formatValue formats a field's value: durations with a unit, whole numbers without an
 // exponent, and other values as text.
--- a/pkg/process/membership/era_test.go
+++ b/pkg/process/membership/era_test.go
@@ -14,6 +14,13 @@
 	return f.members[0], f.members[1]
 }
 
+// following returns the hello of a follower that has just read the store.
+func following(from membership.Member, era, revision uint64) membership.Hello {
+	return membership.Hello{
+		From: from, Era: era, Revision: revision, ConfirmedAge: clock.Ago(0), Following: true, Follower: from.Name, FollowerAge: clock.Ago(0),
+	}
+}
+
 // Guards against a follower that is cut off with the older era: it may neither confirm a
 // replica of the newer era, nor keep its instance from following the store.
 func TestHelloOfAnOlderEraConfirmsNothing(t *testing.T) {
@@ -26,7 +33,7 @@
 		now := time.Duration(0)
 		for ; now < 3*time.Second; now += period {
 			// The older era's revision is the higher one, so that "current" is false.
-			core.ReceiveHello(now, membership.Hello{From: other, Era: era, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, false)
+			core.ReceiveHello(now, following(other, era, 900), false)
 		}
 		if !core.UpdateFollowing(now) || core.Follower() != "" {
 			t.Errorf("era %d: following %v, follower %q", era, core.Following(), core.Follower())
@@ -50,7 +57,7 @@
 		core.SetEra(2)
 		now := time.Minute
 		core.UpdateFollowing(now)
-		core.ReceiveHello(now, membership.Hello{From: older, Era: 1, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, false)
+		core.ReceiveHello(now, following(older, 1, 900), false)
 		if !core.Following() {
 			t.Errorf("reversed %v: the follower of the newer era stopped", reversed)
 		}
@@ -66,7 +73,7 @@
 		core.SetRegistered(0, []membership.Member{older, newer})
 		core.SetEra(1)
 		core.UpdateFollowing(time.Minute)
-		core.ReceiveHello(time.Minute, membership.Hello{From: newer, Era: 2, Revision: 5, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, false)
+		core.ReceiveHello(time.Minute, following(newer, 2, 5), false)
 		if !core.Following() {
 			stopped++
 		}
@@ -84,7 +91,7 @@
 	core.SetRegistered(0, []membership.Member{self, other})
 	core.SetEra(1)
 	now := time.Minute
-	core.ReceiveHello(now, membership.Hello{From: other, Era: 1, Revision: 900, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, true)
+	core.ReceiveHello(now, following(other, 1, 900), true)
 	core.SetEra(2)
 	now += time.Second
 	if core.UpdateFollowing(now) {
@@ -93,7 +100,7 @@
 	if h := core.Hello(now); h.Era != 2 || h.Follower != "" {
 		t.Errorf("names a follower of the older era: %+v", h)
 	}
-	core.ReceiveHello(now, membership.Hello{From: other, Era: 2, Revision: 5, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, true)
+	core.ReceiveHello(now, following(other, 2, 5), true)
 	if h := core.Hello(now); h.Follower != other.Name {
 		t.Errorf("doesn't name the follower of the newer era: %+v", h)
 	}
@@ -106,7 +113,7 @@
 	core := membership.New(self, nil, 1)
 	core.SetRegistered(0, []membership.Member{self, other})
 	core.SetEra(1)
-	core.ReceiveHello(time.Minute, membership.Hello{From: other, Era: 2, Revision: 5, Following: true, ConfirmedAge: clock.Ago(0), ProgressAge: clock.Ago(0)}, false)
+	core.ReceiveHello(time.Minute, following(other, 2, 5), false)
 	core.SetEra(2)
 	if h := core.Hello(time.Minute); h.Follower != other.Name {
 		t.Errorf("follower %q", h.Follower)
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -4,11 +4,11 @@
 // One instance, the follower, watches the store and sends changes to all others of
 // its data centre and to some of each other data centre, which relay them. Any
 // instance whose replica hasn't been confirmed as the newest for a while starts to
-// follow too, and of two followers that reach each other the one with the higher
-// rank stops. So replicas stay fresh wherever any instance reaches the store, and no
+// follow too, and of two followers that read the store and reach each other the one with the
+// higher rank stops. So replicas stay fresh wherever any instance reaches the store, and no
 // consensus is needed: two followers at once only cost more calls to the store. A follower
-// whose replica is of an older era of the store, and so may be cut off from it, counts as
-// none.
+// counts only by what it receives from the store itself, not by what others tell it. One
+// whose replica is of an older era of the store, and so may be cut off from it, counts as none.
 //
 // # Usage
 //
@@ -54,9 +54,6 @@
 	// them follows.
 	startupAfter  = 300 * time.Millisecond
 	startupJitter = 300 * time.Millisecond
-	// yieldMaxAge is how long ago another follower may at most have been known to
-	// follow for this instance to stop following.
-	yieldMaxAge = 1500 * time.Millisecond
 	// maxTransfer is how long other instances wait for a follower that is receiving a
 	// large change: then they follow too, in case their links are faster. A
 	// configuration of 400 KB takes 1.7 s on a link of 2 Mbit/s.
@@ -100,16 +97,13 @@
 	// EarlyRevision is the revision of the latest change that the sender's replica has
 	// beyond Revision, 0 if it has none.
 	EarlyRevision uint64
-	// ProgressAge is how long ago a follower that the sender knows of, or the sender
-	// itself, was receiving something from the store; it is at most ConfirmedAge.
-	ProgressAge clock.Age
 	// Following is set if the sender follows the store.
 	Following bool
-	// Follower is the name of the follower with the lowest rank that the sender
-	// knows, itself excepted, or empty. FollowerAge is how long ago it was known to
-	// follow.
+	// Follower is the name of the follower with the lowest rank that the sender knows, which
+	// may be the sender, empty for none. FollowerAge is how long ago that one received
+	// something from the store.
 	Follower    string
-	FollowerAge time.Duration
+	FollowerAge clock.Age
 	// Leaving is set if the sender is shutting down.
 	Leaving bool
 }
@@ -135,23 +129,26 @@
 	centres  []string
 	seeds    []netip.AddrPort
 	random   *rand.Rand
-	// confirmed is when the replica was last known to be the newest.
-	confirmed clock.Time
-	// progress is when a follower was last known to receive something from the store.
-	progress clock.Time
-	// confirmedBy and progressBy are the names of the instances that said so.
-	confirmedBy, progressBy string
+	// confirmed is when the replica was last known to be the newest, and confirmedBy the
+	// name of the instance that said so.
+	confirmed   clock.Time
+	confirmedBy string
 	// followAfter is StaleAfter with this instance's share of staleJitter, and
 	// startupRandom its share of startupJitter.
 	followAfter   time.Duration
 	startupRandom time.Duration
 	following     bool
+	// followingSince is when this instance began to follow, and ownReading when it last
+	// received something from the store.
+	followingSince time.Duration
+	ownReading     clock.Time
 	// periods counts the periods in which messages were sent.
 	periods int
-	// follower is the name of the known other follower with the lowest rank, empty
-	// if there was none yet, and followerSeen when it was last known to follow.
-	follower     string
-	followerSeen clock.Time
+	// follower is the name of the known follower with the lowest rank, which may be this
+	// instance, empty if there was none yet. read is when it last received something from the
+	// store, and readBy the name of the instance that said so.
+	follower, readBy string
+	read             clock.Time
 	// era is the era of the replica, see SetEra, and followerEra the highest of the hellos
 	// that named the follower.
 	era, followerEra uint64
@@ -241,7 +238,7 @@
 	}
 	c.era = era
 	if c.followerEra < era {
-		c.followerSeen = clock.Time{}
+		c.read = clock.Time{}
 	}
 }
 
@@ -261,39 +258,47 @@
 	if current {
 		c.confirm(h.ConfirmedAge.Before(now), h.From.Name)
 	}
-	c.recordProgress(h.ProgressAge.Before(now), h.From.Name)
-	if h.Following && !h.Leaving && h.ProgressAge.AtMost(yieldMaxAge) {
-		c.noteFollower(now, h.From.Name, h.Era, now)
-	}
-	if h.Follower != "" {
-		c.noteFollower(now, h.Follower, h.Era, now-h.FollowerAge)
+	if h.Follower == "" || h.Follower == c.self.Name || h.Leaving && h.Follower == h.From.Name {
+		return
 	}
-	if c.following && rankOf(c.follower) < c.rank && c.followerFollows(now) {
+	read := h.FollowerAge.Before(now)
+	c.recordReading(now, h.Follower, h.Era, read, h.From.Name)
+	if c.following && c.yields(now, h.Follower, read) {
 		c.following = false
 	}
 }
 
-// noteFollower records another instance that was known to follow at the time seen, by a
-// hello of the given era.
-// Only the one with the lowest rank is kept, unless it wasn't seen for yieldMaxAge.
-func (c *Core) noteFollower(now time.Duration, name string, era uint64, seen time.Duration) {
+// recordReading records that a follower received something from the store at a time, by the
+// word of an instance in an era. Of several followers only the one with the lowest rank is
+// kept, unless it hasn't read the store for StaleAfter.
+func (c *Core) recordReading(now time.Duration, follower string, era uint64, at clock.Time, by string) {
 	switch {
-	case name == c.self.Name || now-seen > yieldMaxAge:
-	case name == c.follower:
-		c.followerSeen, c.followerEra = c.followerSeen.Latest(clock.At(seen)), max(c.followerEra, era)
-	case !c.followerFollows(now) || rankOf(name) < rankOf(c.follower):
-		c.follower, c.followerSeen, c.followerEra = name, clock.At(seen), era
+	case !at.Known():
+	case follower == c.follower && c.read.NotBefore(at.Or(0)):
+	case follower == c.follower:
+		c.followerEra, c.read, c.readBy = max(c.followerEra, era), at, by
+	case !at.Age(now).AtMost(StaleAfter):
+	case !c.read.Age(now).AtMost(StaleAfter) || rankOf(follower) < rankOf(c.follower):
+		c.follower, c.followerEra, c.read, c.readBy = follower, era, at, by
 	}
 }
 
-// followerFollows reports whether another follower is known, and was known to follow lately.
-func (c *Core) followerFollows(now time.Duration) bool {
-	return c.followerSeen.Age(now).AtMost(yieldMaxAge)
+// yields reports whether this instance stops following since another one follows that read the
+// store at that time: lately, and its rank is lower, or this instance hasn't read it for long.
+// A follower that is cut off from the store reads nothing, so that nobody stops for it.
+func (c *Core) yields(now time.Duration, follower string, read clock.Time) bool {
+	if !read.Age(now).AtMost(StaleAfter) {
+		return false
+	}
+	return rankOf(follower) < c.rank || now-c.followingSince > StaleAfter && !c.ownReading.Age(now).AtMost(StaleAfter)
 }
 
 // Confirm records that this instance's replica was the newest at the given time, as the
 // store said. Earlier times than the known one have no effect.
-func (c *Core) Confirm(at time.Duration) { c.confirm(clock.At(at), c.self.Name) }
+func (c *Core) Confirm(at time.Duration) {
+	c.confirm(clock.At(at), c.self.Name)
+	c.Progress(at)
+}
 
 func (c *Core) confirm(at clock.Time, by string) {
 	if latest := c.confirmed.Latest(at); latest != c.confirmed {
@@ -306,21 +311,13 @@
 // that up once it gets them from another, and what it has received by then is lost.
 func (c *Core) Progress(at time.Duration) {
 	if c.following {
-		c.recordProgress(clock.At(at), c.self.Name)
+		c.ownReading = c.ownReading.Latest(clock.At(at))
+		c.recordReading(at, c.self.Name, c.era, clock.At(at), c.self.Name)
 	}
 }
 
-func (c *Core) recordProgress(at clock.Time, by string) {
-	if latest := c.progress.Latest(at); latest != c.progress {
-		c.progress, c.progressBy = latest, by
-	}
-}
-
-// ProgressAge returns how long ago a follower was known to receive something from the
-// store.
-func (c *Core) ProgressAge(now time.Duration) clock.Age {
-	return c.progress.Latest(c.confirmed).Age(now)
-}
+// ReadAge returns how long ago the known follower received something from the store.
+func (c *Core) ReadAge(now time.Duration) clock.Age { return c.read.Age(now) }
 
 // Confirmed returns when the replica was last known to be the newest.
 func (c *Core) Confirmed() clock.Time { return c.confirmed }
@@ -346,10 +343,10 @@
 func (c *Core) UpdateFollowing(now time.Duration) bool {
 	age := c.ConfirmedAge(now).Or(now)
 	if age <= maxTransfer {
-		age = c.ProgressAge(now).Or(now)
+		age = min(age, c.ReadAge(now).Or(age))
 	}
 	if !c.following && age > c.MaxConfirmedAge() {
-		c.following = true
+		c.following, c.followingSince = true, now
 	}
 	return c.following
 }
@@ -357,9 +354,9 @@
 // Hello returns this instance's state for its peers. Revision, EarlyRevision and
 // Leaving are left for the caller to set; Era is that of SetEra.
 func (c *Core) Hello(now time.Duration) Hello {
-	h := Hello{From: c.self, Era: c.era, ConfirmedAge: c.ConfirmedAge(now), ProgressAge: c.ProgressAge(now), Following: c.following}
-	if c.followerFollows(now) {
-		h.Follower, h.FollowerAge = c.follower, c.followerSeen.Age(now).Or(0)
+	h := Hello{From: c.self, Era: c.era, ConfirmedAge: c.ConfirmedAge(now), Following: c.following}
+	if age := c.ReadAge(now); age.AtMost(StaleAfter) {
+		h.Follower, h.FollowerAge = c.follower, age
 	}
 	return h
 }
@@ -367,19 +364,18 @@
 // Following reports whether this instance follows the store, without starting to.
 func (c *Core) Following() bool { return c.following }
 
-// Follower returns the name of the last known other follower, empty for none.
+// Follower returns the name of the known follower with the lowest rank, which may be this
+// instance; it is empty for none. ReadBy returns the
+// name of the instance by whose word its last reading is known, and ConfirmedBy that of the one
+// by whose word the replica was last confirmed.
 func (c *Core) Follower() string { return c.follower }
 
-// FollowerAge returns how long ago the last known other follower was known to follow.
-func (c *Core) FollowerAge(now time.Duration) clock.Age { return c.followerSeen.Age(now) }
+// ReadBy is described at Follower.
+func (c *Core) ReadBy() string { return c.readBy }
 
-// ConfirmedBy returns the name of the instance by whose word the replica was last confirmed,
-// empty for none, and ProgressBy that of the one that last told of progress.
+// ConfirmedBy is described at Follower.
 func (c *Core) ConfirmedBy() string { return c.confirmedBy }
 
-// ProgressBy is described at ConfirmedBy.
-func (c *Core) ProgressBy() string { return c.progressBy }
-
 // DataCentrePeers returns the endpoints of all known other instances of the own data
 // centre, some of which may have ended.
 func (c *Core) DataCentrePeers() []netip.AddrPort { return c.endpoints(c.self.DataCentre) }
--- a/pkg/process/membership/membership_test.go
+++ b/pkg/process/membership/membership_test.go
@@ -275,7 +275,7 @@
 			core.Confirm(0)
 			followsAt := time.Duration(0)
 			for now := time.Duration(0); followsAt == 0 && now < time.Minute; now += period {
-				core.ReceiveHello(now, membership.Hello{From: follower, Following: true, ConfirmedAge: clock.Ago(now), ProgressAge: clock.Ago(c.progressAge(now))}, true)
+				core.ReceiveHello(now, membership.Hello{From: follower, Following: true, ConfirmedAge: clock.Ago(now), Follower: follower.Name, FollowerAge: clock.Ago(c.progressAge(now))}, true)
 				if core.UpdateFollowing(now) {
 					followsAt = now
 				}
--- a/pkg/process/membership/unconfirmed_test.go
+++ b/pkg/process/membership/unconfirmed_test.go
@@ -16,7 +16,7 @@
 	self, other := pair(t)
 	fresh := membership.New(self, nil, 1)
 	h := fresh.Hello(200 * time.Millisecond)
-	if d := cmp.Diff([]clock.Age{{}, {}}, []clock.Age{h.ConfirmedAge, h.ProgressAge}); d != "" {
+	if d := cmp.Diff([]clock.Age{{}, {}}, []clock.Age{h.ConfirmedAge, h.FollowerAge}); d != "" {
 		t.Error(d)
 	}
 	for _, current := range []bool{false, true} {
@@ -27,7 +27,7 @@
 		if got := core.ConfirmedAge(time.Minute + time.Second); got != clock.Ago(time.Second) {
 			t.Errorf("current %v: the replica counts as confirmed %v ago", current, got)
 		}
-		if got := core.ProgressAge(time.Minute + time.Second); got != clock.Ago(time.Second) {
+		if got := core.ReadAge(time.Minute + time.Second); got.Known() {
 			t.Errorf("current %v: a follower received something %v ago", current, got)
 		}
 	}
@@ -38,7 +38,7 @@
 func TestUnconfirmedInstanceFollowsSoonAfterItsStart(t *testing.T) {
 	self, other := pair(t)
 	core := membership.New(self, nil, 1)
-	hello := membership.Hello{From: other, Following: true, ProgressAge: clock.Ago(0)}
+	hello := membership.Hello{From: other, Following: true, Follower: other.Name, FollowerAge: clock.Ago(0)}
 	core.ReceiveHello(0, hello, false)
 	now := time.Duration(0)
 	for ; !core.UpdateFollowing(now) && now < time.Minute; now += period {
@@ -57,15 +57,15 @@
 	self, _ := pair(t)
 	core := membership.New(self, nil, 1)
 	core.Progress(100 * time.Millisecond)
-	if h := core.Hello(200 * time.Millisecond); h.ProgressAge.Known() {
-		t.Errorf("an instance that doesn't follow tells of progress %v ago", h.ProgressAge)
+	if h := core.Hello(200 * time.Millisecond); h.FollowerAge.Known() {
+		t.Errorf("an instance that doesn't follow tells of progress %v ago", h.FollowerAge)
 	}
 	now := 10 * time.Second
 	if !core.UpdateFollowing(now) {
 		t.Fatal("doesn't follow")
 	}
 	core.Progress(now)
-	if h := core.Hello(now); h.ProgressAge != clock.Ago(0) {
-		t.Errorf("a follower tells of progress %v ago", h.ProgressAge)
+	if h := core.Hello(now); h.FollowerAge != clock.Ago(0) {
+		t.Errorf("a follower tells of progress %v ago", h.FollowerAge)
 	}
 }
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"net/netip"
@@ -48,9 +49,9 @@
 		},
 		Revision: m.Hello.Revision, ConfirmedAgeMilliseconds: ageToWire(m.Hello.ConfirmedAge),
 		Following: m.Hello.Following, Leaving: m.Hello.Leaving,
-		Follower: m.Hello.Follower, FollowerAgeMilliseconds: toMilliseconds(m.Hello.FollowerAge),
-		Era: m.Hello.Era, EarlyRevision: m.Hello.EarlyRevision, ProgressAgeMilliseconds: proto.Uint32(ageToWire(m.Hello.ProgressAge)),
+		Era: m.Hello.Era, EarlyRevision: m.Hello.EarlyRevision,
 	}
+	followerToWire(m.Hello, w)
 	w.Answer = m.Answer
 	for _, a := range m.Asked {
 		w.Asked = append(w.Asked, uint32(a))
@@ -96,12 +97,9 @@
 		},
 		Revision: w.GetRevision(), ConfirmedAge: ageFromWire(w.GetConfirmedAgeMilliseconds()),
 		Following: w.GetFollowing(), Leaving: w.GetLeaving(),
-		Follower: w.GetFollower(), FollowerAge: fromMilliseconds(w.GetFollowerAgeMilliseconds()),
-		Era: w.GetEra(), EarlyRevision: w.GetEarlyRevision(), ProgressAge: ageFromWire(w.GetConfirmedAgeMilliseconds()),
+		Era: w.GetEra(), EarlyRevision: w.GetEarlyRevision(),
 	}}
-	if w.ProgressAgeMilliseconds != nil {
-		m.Hello.ProgressAge = ageFromWire(w.GetProgressAgeMilliseconds())
-	}
+	m.Hello.Follower, m.Hello.FollowerAge = followerFromWire(&w)
 	m.Answer = w.GetAnswer()
 	for _, a := range w.GetAsked() {
 		m.Asked = append(m.Asked, mark.Mark(a))
@@ -132,6 +130,38 @@
 	return m, nil
 }
 
+// followerToWire sets what a hello says of the follower.
+func followerToWire(h membership.Hello, w *Hello) {
+	progress := h.ConfirmedAge
+	if h.Follower != "" || h.Following {
+		w.ReadAgeMilliseconds = proto.Uint32(ageToWire(h.FollowerAge))
+		progress = clock.Newest(progress, h.FollowerAge)
+	}
+	if progress != h.ConfirmedAge {
+		w.ProgressAgeMilliseconds = proto.Uint32(ageToWire(progress))
+	}
+	if h.Follower != "" && h.Follower != h.From.Name {
+		w.Follower, w.FollowerAgeMilliseconds = h.Follower, ageToWire(h.FollowerAge)
+	}
+}
+
+// followerFromWire returns the name of the follower that a hello tells of, and how long ago
+// that received something from the store.
+func followerFromWire(w *Hello) (string, clock.Age) {
+	if w.ReadAgeMilliseconds != nil {
+		return cmp.Or(w.GetFollower(), w.GetFrom().GetName()), ageFromWire(w.GetReadAgeMilliseconds())
+	}
+	switch {
+	case w.GetFollowing() && w.ProgressAgeMilliseconds != nil:
+		return w.GetFrom().GetName(), ageFromWire(w.GetProgressAgeMilliseconds())
+	case w.GetFollowing():
+		return w.GetFrom().GetName(), ageFromWire(w.GetConfirmedAgeMilliseconds())
+	case w.GetFollower() != "":
+		return w.GetFollower(), ageFromWire(w.GetFollowerAgeMilliseconds())
+	}
+	return "", clock.Age{}
+}
+
 // evidenceFromWire returns what a load says of the backend server's health, with no more
 // failures than answers.
 func evidenceFromWire(l *Load) capacity.Evidence {
--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -23,8 +23,8 @@
 	Hello: membership.Hello{
 		From:     membership.Member{Name: "entry-1", DataCentre: "dakar-1", Endpoint: netip.MustParseAddrPort("10.1.0.10:7720")},
 		Revision: 412, ConfirmedAge: clock.Ago(700 * time.Millisecond), Following: true, Leaving: true,
-		Follower: "entry-2", FollowerAge: 250 * time.Millisecond,
-		Era: 3, EarlyRevision: 415, ProgressAge: clock.Ago(50 * time.Millisecond),
+		Follower: "entry-2", FollowerAge: clock.Ago(250 * time.Millisecond),
+		Era: 3, EarlyRevision: 415,
 	},
 	Loads: []forwarding.Load{{
 		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second, ColdLeft: time.Second,
@@ -52,19 +52,66 @@
 	}
 }
 
-// TestHelloWithoutProgressCountsFromTheConfirmation guards against instances of an
-// earlier version: they never say when their follower received something.
-func TestHelloWithoutProgressCountsFromTheConfirmation(t *testing.T) {
-	datagram, err := proto.Marshal(&entry.Hello{From: &entry.Member{Name: "entry-1", Port: 7720}, ConfirmedAgeMilliseconds: 900})
-	if err != nil {
-		t.Fatal(err)
-	}
-	m, err := entry.Decode(datagram)
-	if err != nil {
-		t.Fatal(err)
+// Guards against instances of earlier versions that count as followers by a wrong age, or
+// not at all: they don't say when a follower received something from the store, and the
+// earliest don't know of progress.
+func TestFollowersOfEarlierVersions(t *testing.T) {
+	from := &entry.Member{Name: "entry-1", Port: 7720}
+	for _, test := range []struct {
+		name     string
+		hello    *entry.Hello
+		follower string
+		age      clock.Age
+	}{
+		{"without progress", &entry.Hello{Following: true, ConfirmedAgeMilliseconds: 900}, "entry-1", clock.Ago(900 * time.Millisecond)},
+		{"with progress", &entry.Hello{Following: true, ConfirmedAgeMilliseconds: 900, ProgressAgeMilliseconds: proto.Uint32(50)}, "entry-1", clock.Ago(50 * time.Millisecond)},
+		{"of another", &entry.Hello{Follower: "entry-2", FollowerAgeMilliseconds: 250, ProgressAgeMilliseconds: proto.Uint32(50)}, "entry-2", clock.Ago(250 * time.Millisecond)},
+		{"of none", &entry.Hello{ConfirmedAgeMilliseconds: 900, ProgressAgeMilliseconds: proto.Uint32(50)}, "", clock.Age{}},
+	} {
+		test.hello.From = from
+		datagram, err := proto.Marshal(test.hello)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := entry.Decode(datagram)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m.Hello.Follower != test.follower || m.Hello.FollowerAge != test.age {
+			t.Errorf("%s: follower %q, %v ago", test.name, m.Hello.Follower, m.Hello.FollowerAge)
+		}
 	}
-	if m.Hello.ProgressAge != clock.Ago(900*time.Millisecond) {
-		t.Errorf("progress %v ago", m.Hello.ProgressAge)
+}
+
+// Guards against a follower that has read nothing yet, or that tells of another one, and is
+// understood otherwise; and against earlier versions that take "never" for a short age.
+func TestFollowersSurviveEncoding(t *testing.T) {
+	for _, h := range []membership.Hello{
+		{},
+		{Following: true, Follower: "entry-1"},
+		{Following: true, Follower: "entry-1", FollowerAge: clock.Ago(0), ConfirmedAge: clock.Ago(0)},
+		{Following: true, Follower: "entry-2", FollowerAge: clock.Ago(time.Second), ConfirmedAge: clock.Ago(2 * time.Second)},
+		{Follower: "entry-2", FollowerAge: clock.Ago(time.Second)},
+	} {
+		h.From = sample.Hello.From
+		datagram, err := entry.Encode(entry.Message{Hello: h})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := entry.Decode(datagram)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(h, m.Hello, cmpopts.EquateComparable(netip.AddrPort{})); d != "" {
+			t.Error(d)
+		}
+		var w entry.Hello
+		if err := proto.Unmarshal(datagram, &w); err != nil {
+			t.Fatal(err)
+		}
+		if !h.ConfirmedAge.Known() && w.GetConfirmedAgeMilliseconds() < uint32(24*time.Hour/time.Millisecond) {
+			t.Errorf("%+v: confirmed %d ms ago", h, w.GetConfirmedAgeMilliseconds())
+		}
 	}
 }
 
