Recognise a confirmation that is heard again

Seen in a play of the fleet, not yet by callers: an instance whose link takes 0.4 s repeats what others told it, with ages that lack those 0.4 s. The others take the smallest age of all, and repeat that. With links of 1 ms in a fleet of 294, in a world that moves by 10 ms, confirmations grew old by 3.4 s in 5 s. Cause: a word was told on by its age alone, so that a repeated one passed for a new one. The same held for the last reading of a follower, which keeps others from following. Done: confirmations and readings carry the number of the start that got them from the store and a number that grows there. What was heard before keeps its earliest time, and nothing is later than what came after it. Instances of earlier versions don't say it, and their words count as before. A message grows by 14 bytes, so that a follower sends its state to nine instances in a period instead of ten. Tests: TestEchoOfASlowInstanceConfirmsNothing, TestConfirmationsGrowOldInALargeFleet and the larger fleet of TestFollowerThatIsCutOffStopsNobody, which failed before. BenchmarkFleet as before: 1.25 calls a second and one follower at 9, 90, 486 instances.

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -52,6 +52,14 @@
 	return t
 }
 
+// Earliest returns the earlier one of two times. If one is never, so is the result.
+func Earliest(t, u Time) Time {
+	if !t.known || u.known && t.reading < u.reading {
+		return t
+	}
+	return u
+}
+
 // Age returns how long before now t was.
 func (t Time) Age(now time.Duration) Age {
 	if !t.known {
--- a/pkg/process/membership/knowledge_test.go
+++ b/pkg/process/membership/knowledge_test.go
@@ -215,7 +215,7 @@
 }
 
 // fleetSizes are numbers of data centres, and of instances in each.
-var fleetSizes = [][2]int{{3, 3}, {4, 2}}
+var fleetSizes = [][2]int{{3, 3}, {4, 2}, {3, 20}}
 
 // eachFleet runs a test for some fleets and seeds.
 func eachFleet(t *testing.T, test func(t *testing.T, w *world)) {
@@ -268,3 +268,42 @@
 		}
 	})
 }
+
+// Guards against echoes: an instance whose link is slow repeats what others told it, and with
+// the time that its messages take, an old confirmation passed for a new one for ever.
+func TestEchoOfASlowInstanceConfirmsNothing(t *testing.T) {
+	eachFleet(t, func(t *testing.T, w *world) {
+		gone := w.follower(t)
+		slow := w.instances[0]
+		if slow == gone {
+			slow = w.instances[1]
+		}
+		slow.delay = 400 * time.Millisecond
+		w.run(5*time.Second, func() { w.requireApplied(t) })
+		gone.down = true
+		w.run(100*time.Millisecond, nil)
+		w.write()
+		w.run(6*time.Second, func() { w.requireApplied(t) })
+	})
+}
+
+// Guards against ages that lose something at each hop: in a fleet whose follower ended, the
+// confirmations of all have to grow old as fast as time passes.
+func TestConfirmationsGrowOldInALargeFleet(t *testing.T) {
+	w := newWorld(3, 98, 1)
+	gone := w.follower(t)
+	for _, i := range w.instances {
+		i.cutOff = true
+	}
+	gone.down = true
+	began := w.now
+	w.run(5*time.Second, nil)
+	for _, i := range w.instances {
+		if i == gone {
+			continue
+		}
+		if age := i.core.ConfirmedAge(w.now - i.startedAt).Or(never); age < w.now-began-period {
+			t.Fatalf("%s counts its replica as confirmed %v ago, %v after the last reading", i.Name, age, w.now-began)
+		}
+	}
+}
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -61,9 +61,9 @@
 	// aliveFor is how long an instance counts as alive after its last hello.
 	aliveFor = 5 * time.Second
 	// followerFanout is how many instances a follower sends its state to in one
-	// period of 0.25 s: with messages of some 70 bytes it stays below 3 KB/s. The
+	// period of 0.25 s: with messages of some 80 bytes it stays below 3 KB/s. The
 	// others get it indirectly.
-	followerFanout = 10
+	followerFanout = 9
 	// gossipDelayStep is the additional time that a confirmation takes for each
 	// doubling of a data centre beyond gossipDelayFrom instances; up to that many get
 	// it directly.
@@ -92,8 +92,10 @@
 	// none, and Era if it is unknown.
 	Era, Revision uint64
 	// ConfirmedAge is how long ago the sender's replica was known to be the newest, never
-	// if nobody has said so since the sender's start.
+	// if nobody has said so since the sender's start. Confirmation identifies the response of
+	// the store that confirmed it.
 	ConfirmedAge clock.Age
+	Confirmation Source
 	// EarlyRevision is the revision of the latest change that the sender's replica has
 	// beyond Revision, 0 if it has none.
 	EarlyRevision uint64
@@ -101,9 +103,10 @@
 	Following bool
 	// Follower is the name of the follower with the lowest rank that the sender knows, which
 	// may be the sender, empty for none. FollowerAge is how long ago that one received
-	// something from the store.
+	// something from the store, which Reading identifies.
 	Follower    string
 	FollowerAge clock.Age
+	Reading     Source
 	// Leaving is set if the sender is shutting down.
 	Leaving bool
 }
@@ -129,10 +132,11 @@
 	centres  []string
 	seeds    []netip.AddrPort
 	random   *rand.Rand
-	// confirmed is when the replica was last known to be the newest, and confirmedBy the
-	// name of the instance that said so.
-	confirmed   clock.Time
-	confirmedBy string
+	// confirmed is when the replica was last known to be the newest, by the response that
+	// confirmation identifies, and confirmedBy the name of the instance that said so.
+	confirmed    clock.Time
+	confirmation Source
+	confirmedBy  string
 	// followAfter is StaleAfter with this instance's share of staleJitter, and
 	// startupRandom its share of startupJitter.
 	followAfter   time.Duration
@@ -142,13 +146,20 @@
 	// received something from the store.
 	followingSince time.Duration
 	ownReading     clock.Time
+	// start identifies this start of the instance, and confirmations and readings count the
+	// responses of the store, and the parts of them.
+	start                   uint32
+	confirmations, readings uint32
+	// heardConfirmations and heardReadings are what is known of all instances' ones.
+	heardConfirmations, heardReadings heard
 	// periods counts the periods in which messages were sent.
 	periods int
 	// follower is the name of the known follower with the lowest rank, which may be this
 	// instance, empty if there was none yet. read is when it last received something from the
-	// store, and readBy the name of the instance that said so.
+	// store, which reading identifies, and readBy the name of the instance that said so.
 	follower, readBy string
 	read             clock.Time
+	reading          Source
 	// era is the era of the replica, see SetEra, and followerEra the highest of the hellos
 	// that named the follower.
 	era, followerEra uint64
@@ -160,8 +171,10 @@
 	r := rand.New(rand.NewPCG(seed, seed))
 	c := &Core{
 		self: self, rank: rankOf(self.Name), peers: make(map[string]*peer), random: r,
-		followAfter:   StaleAfter + time.Duration(r.Int64N(int64(staleJitter))),
-		startupRandom: time.Duration(r.Int64N(int64(startupJitter))),
+		followAfter:        StaleAfter + time.Duration(r.Int64N(int64(staleJitter))),
+		startupRandom:      time.Duration(r.Int64N(int64(startupJitter))),
+		start:              newStart(self.Name, seed),
+		heardConfirmations: make(heard), heardReadings: make(heard),
 	}
 	c.SetSeeds(seeds)
 	return c
@@ -255,32 +268,38 @@
 	if h.Era < c.era {
 		return
 	}
+	confirmed := c.heardConfirmations.place(now, h.Confirmation, h.ConfirmedAge)
 	if current {
-		c.confirm(h.ConfirmedAge.Before(now), h.From.Name)
+		c.confirm(confirmed, h.Confirmation, h.From.Name)
 	}
 	if h.Follower == "" || h.Follower == c.self.Name || h.Leaving && h.Follower == h.From.Name {
 		return
 	}
-	read := h.FollowerAge.Before(now)
-	c.recordReading(now, h.Follower, h.Era, read, h.From.Name)
+	read := c.heardReadings.place(now, h.Reading, h.FollowerAge)
+	c.recordReading(now, h, read)
 	if c.following && c.yields(now, h.Follower, read) {
 		c.following = false
 	}
 }
 
-// recordReading records that a follower received something from the store at a time, by the
-// word of an instance in an era. Of several followers only the one with the lowest rank is
-// kept, unless it hasn't read the store for StaleAfter.
-func (c *Core) recordReading(now time.Duration, follower string, era uint64, at clock.Time, by string) {
+// recordReading records that the follower of a hello received something from the store at a
+// time. Of several followers only the one with the lowest rank is kept, unless it hasn't read
+// the store for StaleAfter.
+func (c *Core) recordReading(now time.Duration, h Hello, at clock.Time) {
+	known := h.Follower == c.follower
 	switch {
-	case !at.Known():
-	case follower == c.follower && c.read.NotBefore(at.Or(0)):
-	case follower == c.follower:
-		c.followerEra, c.read, c.readBy = max(c.followerEra, era), at, by
+	case !at.Known() || known && c.read.NotBefore(at.Or(0)):
+		return
+	case known:
+		c.followerEra = max(c.followerEra, h.Era)
 	case !at.Age(now).AtMost(StaleAfter):
-	case !c.read.Age(now).AtMost(StaleAfter) || rankOf(follower) < rankOf(c.follower):
-		c.follower, c.followerEra, c.read, c.readBy = follower, era, at, by
+		return
+	case c.read.Age(now).AtMost(StaleAfter) && rankOf(h.Follower) > rankOf(c.follower):
+		return
+	default:
+		c.follower, c.followerEra = h.Follower, h.Era
 	}
+	c.read, c.reading, c.readBy = at, h.Reading, h.From.Name
 }
 
 // yields reports whether this instance stops following since another one follows that read the
@@ -296,13 +315,15 @@
 // Confirm records that this instance's replica was the newest at the given time, as the
 // store said. Earlier times than the known one have no effect.
 func (c *Core) Confirm(at time.Duration) {
-	c.confirm(clock.At(at), c.self.Name)
+	c.confirmations++
+	own := Source{Start: c.start, Number: c.confirmations}
+	c.confirm(c.heardConfirmations.place(at, own, clock.Ago(0)), own, c.self.Name)
 	c.Progress(at)
 }
 
-func (c *Core) confirm(at clock.Time, by string) {
+func (c *Core) confirm(at clock.Time, source Source, by string) {
 	if latest := c.confirmed.Latest(at); latest != c.confirmed {
-		c.confirmed, c.confirmedBy = latest, by
+		c.confirmed, c.confirmation, c.confirmedBy = latest, source, by
 	}
 }
 
@@ -311,8 +332,10 @@
 // that up once it gets them from another, and what it has received by then is lost.
 func (c *Core) Progress(at time.Duration) {
 	if c.following {
-		c.ownReading = c.ownReading.Latest(clock.At(at))
-		c.recordReading(at, c.self.Name, c.era, clock.At(at), c.self.Name)
+		c.readings++
+		own := Source{Start: c.start, Number: c.readings}
+		c.ownReading = c.ownReading.Latest(c.heardReadings.place(at, own, clock.Ago(0)))
+		c.recordReading(at, Hello{From: c.self, Era: c.era, Follower: c.self.Name, Reading: own}, c.ownReading)
 	}
 }
 
@@ -354,9 +377,9 @@
 // Hello returns this instance's state for its peers. Revision, EarlyRevision and
 // Leaving are left for the caller to set; Era is that of SetEra.
 func (c *Core) Hello(now time.Duration) Hello {
-	h := Hello{From: c.self, Era: c.era, ConfirmedAge: c.ConfirmedAge(now), Following: c.following}
+	h := Hello{From: c.self, Era: c.era, ConfirmedAge: c.ConfirmedAge(now), Confirmation: c.confirmation, Following: c.following}
 	if age := c.ReadAge(now); age.AtMost(StaleAfter) {
-		h.Follower, h.FollowerAge = c.follower, age
+		h.Follower, h.FollowerAge, h.Reading = c.follower, age, c.reading
 	}
 	return h
 }
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -52,6 +52,10 @@
 		Era: m.Hello.Era, EarlyRevision: m.Hello.EarlyRevision,
 	}
 	followerToWire(m.Hello, w)
+	w.Reader, w.Reading, w.Confirmation = m.Hello.Reading.Start, m.Hello.Reading.Number, m.Hello.Confirmation.Number
+	if m.Hello.Confirmation.Start != m.Hello.Reading.Start {
+		w.ConfirmedStart = m.Hello.Confirmation.Start
+	}
 	w.Answer = m.Answer
 	for _, a := range m.Asked {
 		w.Asked = append(w.Asked, uint32(a))
@@ -100,6 +104,10 @@
 		Era: w.GetEra(), EarlyRevision: w.GetEarlyRevision(),
 	}}
 	m.Hello.Follower, m.Hello.FollowerAge = followerFromWire(&w)
+	m.Hello.Reading = membership.Source{Start: w.GetReader(), Number: w.GetReading()}
+	if w.GetConfirmation() > 0 {
+		m.Hello.Confirmation = membership.Source{Start: cmp.Or(w.GetConfirmedStart(), w.GetReader()), Number: w.GetConfirmation()}
+	}
 	m.Answer = w.GetAnswer()
 	for _, a := range w.GetAsked() {
 		m.Asked = append(m.Asked, mark.Mark(a))
--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -92,6 +92,15 @@
 		{Following: true, Follower: "entry-1", FollowerAge: clock.Ago(0), ConfirmedAge: clock.Ago(0)},
 		{Following: true, Follower: "entry-2", FollowerAge: clock.Ago(time.Second), ConfirmedAge: clock.Ago(2 * time.Second)},
 		{Follower: "entry-2", FollowerAge: clock.Ago(time.Second)},
+		{Confirmation: membership.Source{Start: 7, Number: 1}, ConfirmedAge: clock.Ago(0)},
+		{
+			Follower: "entry-2", FollowerAge: clock.Ago(time.Second), Reading: membership.Source{Start: 7, Number: 8},
+			ConfirmedAge: clock.Ago(0), Confirmation: membership.Source{Start: 7, Number: 3},
+		},
+		{
+			Follower: "entry-2", FollowerAge: clock.Ago(time.Second), Reading: membership.Source{Start: 7, Number: 8},
+			ConfirmedAge: clock.Ago(0), Confirmation: membership.Source{Start: 9, Number: 3},
+		},
 	} {
 		h.From = sample.Hello.From
 		datagram, err := entry.Encode(entry.Message{Hello: h})
