Don't let the start of an instance pass for a sign of life of servers

An instance that restarts so brought a data centre that is out of reach back within reach at others, made a silent server seem to answer, and one that had ended seem to run again. Cause: the time of the last sign was 0 for never. Done: signs of life are of the types of pkg/clock. The same value had also held back the testimony of an instance that has just started, that it saw no sign: it now leaves out servers that it hasn't observed for the 0.7 s after which flows may be given up. Looked at and left: times that stay in the core and are guarded where they are used (when a flow first opened, outages, eras, trials), FailedAge, which counts only with failures, ages of loads, which count from their receipt.

--- a/pkg/connection/forwarding/events.go
+++ b/pkg/connection/forwarding/events.go
@@ -1,6 +1,10 @@
 package forwarding
 
-import "time"
+import (
+	"time"
+
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
+)
 
 // ServerState is the state in which the instance assumes a backend server to be.
 type ServerState uint8
@@ -30,7 +34,7 @@
 	// failures that other instances reported.
 	Failures, Stuck, Others int
 	// SilentFor is how long ago this or another instance last saw a sign of life.
-	SilentFor time.Duration
+	SilentFor clock.Age
 	// Asked is the number of instances that were asked about the server last, and
 	// Answered how many of them answered.
 	Asked, Answered int
@@ -56,7 +60,7 @@
 		c.events = append(c.events, Event{
 			Server: v.ID, Service: v.Service, DataCentre: v.DataCentre, Before: v.state, Now: state,
 			Failures: v.observed.failures, Stuck: v.observed.stuck, Others: v.observed.others.failures,
-			SilentFor: now - v.observed.lastSign(),
+			SilentFor: v.observed.lastSign().Age(now),
 			Asked:     v.observed.inquiry.asked, Answered: v.observed.inquiry.answered,
 		})
 	}
--- a/pkg/connection/forwarding/forwarding.go
+++ b/pkg/connection/forwarding/forwarding.go
@@ -280,7 +280,7 @@
 		return ByMark, false
 	}
 	switch {
-	case v.missing && now-v.missingSince >= goneAfter && v.observed.lastAlive < v.missingSince && c.directoryFresh(now):
+	case v.missing && now-v.missingSince >= goneAfter && !v.observed.lastAlive.NotBefore(v.missingSince) && c.directoryFresh(now):
 		return ServerGone, true
 	case v.observed.silent(now, c.lastAnswer, c.peerCount):
 		return ServerSilent, true
--- a/pkg/connection/forwarding/health_test.go
+++ b/pkg/connection/forwarding/health_test.go
@@ -238,8 +238,8 @@
 // Guards against limits in time that two instances extend by turns, as each report is older
 // than it says.
 func TestAgedLoadEndsEarlier(t *testing.T) {
-	l := forwarding.Load{AliveAge: time.Second, FailedAge: 2 * time.Second, ColdLeft: 500 * time.Millisecond, EjectedLeft: time.Millisecond}
-	want := forwarding.Load{AliveAge: 1100 * time.Millisecond, FailedAge: 2100 * time.Millisecond, ColdLeft: 400 * time.Millisecond, EjectedLeft: time.Millisecond}
+	l := forwarding.Load{AliveAge: clock.Ago(time.Second), FailedAge: 2 * time.Second, ColdLeft: 500 * time.Millisecond, EjectedLeft: time.Millisecond}
+	want := forwarding.Load{AliveAge: clock.Ago(1100 * time.Millisecond), FailedAge: 2100 * time.Millisecond, ColdLeft: 400 * time.Millisecond, EjectedLeft: time.Millisecond}
 	if d := cmp.Diff(want, l.Aged(100*time.Millisecond)); d != "" {
 		t.Error(d)
 	}
--- a/pkg/connection/forwarding/inquiry.go
+++ b/pkg/connection/forwarding/inquiry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 )
 
@@ -43,7 +44,7 @@
 	// were asked, and that have answered.
 	asked, answered int
 	// lastAlive is the latest sign of life that any answer named.
-	lastAlive time.Duration
+	lastAlive clock.Time
 }
 
 // due reports whether it is time for another inquiry.
@@ -108,12 +109,12 @@
 	}
 }
 
-// AnswerInquiry returns what this instance has seen of some backend servers. Unknown
-// ones are left out.
+// AnswerInquiry returns what this instance has seen of some backend servers. It leaves out
+// unknown ones, and those that it hasn't observed for long enough to miss a sign of life.
 func (c *Core) AnswerInquiry(now time.Duration, marks []mark.Mark) []Load {
 	var loads []Load
 	for _, m := range marks[:min(len(marks), maxInquiries)] {
-		if v, ok := c.servers.byMark[m]; ok {
+		if v, ok := c.servers.byMark[m]; ok && (v.observed.lastAlive.Known() || now-v.observedSince >= silentAfter) {
 			loads = append(loads, c.load(now, v))
 		}
 	}
@@ -143,10 +144,11 @@
 		if !ok {
 			continue
 		}
-		v.observed.inquiry.lastAlive = max(v.observed.inquiry.lastAlive, now-l.AliveAge)
+		alive := l.AliveAge.Before(now)
+		v.observed.inquiry.lastAlive = v.observed.inquiry.lastAlive.Latest(alive)
 		r := c.reachOf(v.DataCentre)
-		if ownDataCentre && r.lost {
-			c.receiveSign(now, now-l.AliveAge, r, v)
+		if ownDataCentre && r.lost && alive.Known() {
+			c.receiveSign(now, alive.Or(0), r, v)
 		}
 		if ownDataCentre {
 			v.observed.inquiry.answered++
--- a/pkg/connection/forwarding/loads.go
+++ b/pkg/connection/forwarding/loads.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/capacity"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 )
@@ -34,8 +35,9 @@
 	FailedAge time.Duration
 	// Stuck is how many of these flows were open when their data went unanswered.
 	Stuck int
-	// AliveAge is how long ago the instance last saw a sign of life.
-	AliveAge time.Duration
+	// AliveAge is how long ago the instance last saw a sign of life, never if it has seen
+	// none since its start.
+	AliveAge clock.Age
 	// ColdLeft is for how long the instance still takes the server for cold since it
 	// may have been started anew, 0 if it doesn't.
 	ColdLeft time.Duration
@@ -49,7 +51,7 @@
 // instances that report to each other would extend what ends at a time.
 func (l Load) Aged(by time.Duration) Load {
 	l.FailedAge += by
-	l.AliveAge += by
+	l.AliveAge = l.AliveAge.Add(by)
 	l.ColdLeft = max(l.ColdLeft-by, 0)
 	if l.EjectedLeft > 0 {
 		// While it is probed, a server counts as ejected for this shortest time.
@@ -91,7 +93,7 @@
 	o := &v.observed
 	return Load{
 		Mark: v.mark, Open: o.openFlows, Running: o.average,
-		Failures: o.failures, FailedAge: now - o.lastFailure, Stuck: o.stuck, AliveAge: now - o.lastAlive,
+		Failures: o.failures, FailedAge: now - o.lastFailure, Stuck: o.stuck, AliveAge: o.lastAlive.Age(now),
 		ColdLeft: c.coldLeft(now, v), Evidence: v.health.Own(now), EjectedLeft: v.health.EjectedLeft(now),
 	}
 }
@@ -143,13 +145,13 @@
 	failures    int
 	lastFailure time.Duration
 	stuck       int
-	lastAlive   time.Duration
+	lastAlive   clock.Time
 }
 
 func (o *others) add(l Load, received time.Duration) {
 	o.openFlows += l.Open
 	o.running += l.Running
-	o.lastAlive = max(o.lastAlive, received-l.AliveAge)
+	o.lastAlive = o.lastAlive.Latest(l.AliveAge.Before(received))
 	if l.Failures > 0 {
 		o.failures += l.Failures
 		o.stuck += l.Stuck
--- a/pkg/connection/forwarding/observe.go
+++ b/pkg/connection/forwarding/observe.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/segment"
 )
 
@@ -60,7 +61,7 @@
 	average float64
 	others  others
 	// lastAlive is when a caller last acknowledged something of the server.
-	lastAlive time.Duration
+	lastAlive clock.Time
 	// failures is the number of flows that the server left unanswered since then,
 	// and lastFailure when the last of them was noticed.
 	failures    int
@@ -90,7 +91,7 @@
 // combinedFailures adds the failures that other instances noticed lately to the
 // own ones, unless the server has answered here since.
 func (o *observations) combinedFailures(now time.Duration) int {
-	if o.others.failures == 0 || o.lastAlive >= o.others.lastFailure || now-o.others.lastFailure > firstTrialDelay {
+	if o.others.failures == 0 || o.lastAlive.NotBefore(o.others.lastFailure) || now-o.others.lastFailure > firstTrialDelay {
 		return o.failures
 	}
 	return o.failures + o.others.failures
@@ -107,7 +108,7 @@
 
 // recordAnswer records a sign of life.
 func (o *observations) recordAnswer(now time.Duration) {
-	o.lastAlive, o.failures, o.stuck, o.backoff = now, 0, 0, 0
+	o.lastAlive, o.failures, o.stuck, o.backoff = clock.At(now), 0, 0, 0
 }
 
 // atServer returns the number of requests that run or wait at the server, as far as known.
@@ -139,14 +140,15 @@
 	if o.stuck == 0 || o.failures+o.others.failures < silentFailures || o.stuck+o.others.stuck < silentStuck {
 		return false
 	}
-	sinceAlive := now - o.lastSign()
+	// Without any sign, an instance waits from its start on.
+	sinceAlive := now - o.lastSign().Or(0)
 	sinceFailure := now - max(o.lastFailure, o.others.lastFailure)
 	return sinceAlive >= silentAfter && sinceFailure <= silentPeriod && now-lastAnswer <= lastAnswerMaxAge
 }
 
 // lastSign returns when this or another instance last saw a sign of life of the server.
-func (o *observations) lastSign() time.Duration {
-	return max(o.lastAlive, o.others.lastAlive, o.inquiry.lastAlive)
+func (o *observations) lastSign() clock.Time {
+	return o.lastAlive.Latest(o.others.lastAlive).Latest(o.inquiry.lastAlive)
 }
 
 // recordUnanswered records a failure: a flow whose caller sent something at that
@@ -154,7 +156,7 @@
 // server has answered others since, so that a packet was lost, or if the server
 // had no time to answer, as both packets had waited at the instance.
 func (o *observations) recordUnanswered(now, sent time.Duration) bool {
-	if o.lastAlive >= sent && o.lastAlive > 0 || now-sent < answerTime {
+	if o.lastAlive.NotBefore(sent) || now-sent < answerTime {
 		return false
 	}
 	o.failures++
--- a/pkg/connection/forwarding/observe_test.go
+++ b/pkg/connection/forwarding/observe_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/forwarding"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
 )
@@ -198,7 +199,7 @@
 			callers, unresponsive := openAtServer(t, c, 3)
 			sendUnanswered(c, callers)
 			answerElsewhere(t, c, unresponsive, time.Second)
-			c.ReceiveLoads(time.Second, "other", []forwarding.Load{{Mark: callers[0].markNumber(), AliveAge: 100 * time.Millisecond}}, 1)
+			c.ReceiveLoads(time.Second, "other", []forwarding.Load{{Mark: callers[0].markNumber(), AliveAge: clock.Ago(100 * time.Millisecond)}}, 1)
 			return time.Second, callers
 		},
 	}
@@ -410,7 +411,7 @@
 		peers = 5
 		wait  = 100 * time.Millisecond
 	)
-	quiet := forwarding.Load{AliveAge: time.Minute}
+	quiet := forwarding.Load{AliveAge: clock.Ago(time.Minute)}
 	for _, test := range []struct {
 		name string
 		// answers are those of the own data centre, elsewhere that of another one.
@@ -424,10 +425,11 @@
 		{name: "too few answer", answers: 2, answer: quiet, after: wait, want: forwarding.Forward},
 		{name: "at once", answers: 4, answer: quiet, want: forwarding.Forward},
 		{name: "enough answer", answers: 3, answer: quiet, after: wait, want: forwarding.Reset},
-		{name: "one has seen it", answers: 4, answer: forwarding.Load{AliveAge: 50 * time.Millisecond}, after: wait, want: forwarding.Forward},
+		{name: "enough have seen nothing since their start", answers: 3, after: wait, want: forwarding.Reset},
+		{name: "one has seen it", answers: 4, answer: forwarding.Load{AliveAge: clock.Ago(50 * time.Millisecond)}, after: wait, want: forwarding.Forward},
 		{
 			name: "its data centre has seen it", answers: 4, answer: quiet,
-			elsewhere: &forwarding.Load{AliveAge: 50 * time.Millisecond}, after: wait, want: forwarding.Forward,
+			elsewhere: &forwarding.Load{AliveAge: clock.Ago(50 * time.Millisecond)}, after: wait, want: forwarding.Forward,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -460,7 +462,7 @@
 	p, d := opened(t, c, time.Millisecond, feedRoute)
 	c.Decide(20*time.Millisecond, p.request())
 	loads := c.AnswerInquiry(120*time.Millisecond, []mark.Mark{d.Mark, d.Mark + 1})
-	if len(loads) != 1 || loads[0].Mark != d.Mark || loads[0].AliveAge != 100*time.Millisecond {
+	if len(loads) != 1 || loads[0].Mark != d.Mark || loads[0].AliveAge != clock.Ago(100*time.Millisecond) {
 		t.Errorf("%+v", loads)
 	}
 }
--- a/pkg/connection/forwarding/port_reuse_test.go
+++ b/pkg/connection/forwarding/port_reuse_test.go
@@ -89,7 +89,7 @@
 	now += 2*time.Second + 50*time.Millisecond
 	c.Decide(now, earlier.finish())
 	for _, l := range c.AnswerInquiry(now, []mark.Mark{earlier.markNumber()}) {
-		if l.AliveAge < time.Second {
+		if l.AliveAge.AtMost(time.Second - 1) {
 			t.Errorf("alive %v ago", l.AliveAge)
 		}
 	}
--- a/pkg/connection/forwarding/reach.go
+++ b/pkg/connection/forwarding/reach.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mechanism"
 	"github.com/tanagerweir/tanagerweir/pkg/version/directory"
 )
@@ -62,7 +63,7 @@
 
 // othersReach is what other instances report of the servers of one data centre.
 type othersReach struct {
-	lastSign time.Duration
+	lastSign clock.Time
 	// failures is the number of flows that went unanswered, servers that of the servers
 	// at which they did.
 	failures, servers int
@@ -96,7 +97,7 @@
 			r.failures, r.servers, r.regained, r.regainedAt = 0, [2]*server{}, true, now
 		}
 	case r.failures > 0 && r.failures+r.others.failures >= lostFailures && (r.servers[1] != nil || r.others.servers > 1) &&
-		now-max(r.lastSign, r.others.lastSign, r.lastMessage) >= lostAfter:
+		now-max(r.lastSign, r.others.lastSign.Or(0), r.lastMessage) >= lostAfter:
 		r.lost, r.lostAt, r.nextTrial = true, now, now+reachTrialPeriod
 		r.askedAt, r.asked, r.answered, r.contradictedAt = 0, 0, 0, 0
 	}
@@ -203,8 +204,8 @@
 			continue
 		}
 		o := &v.observed.others
-		r.others.lastSign = max(r.others.lastSign, o.lastAlive)
-		if o.failures > 0 && o.lastAlive < o.lastFailure && now-o.lastFailure <= silentPeriod {
+		r.others.lastSign = r.others.lastSign.Latest(o.lastAlive)
+		if o.failures > 0 && !o.lastAlive.NotBefore(o.lastFailure) && now-o.lastFailure <= silentPeriod {
 			r.others.failures += o.failures
 			r.others.servers++
 		}
--- a/pkg/connection/forwarding/reach_test.go
+++ b/pkg/connection/forwarding/reach_test.go
@@ -120,7 +120,7 @@
 		age  time.Duration
 		want bool
 	}{{time.Minute, false}, {400 * time.Millisecond, false}, {10 * time.Millisecond, true}} {
-		c.ReceiveAnswer(lost+tick, []forwarding.Load{{Mark: d.Mark, AliveAge: test.age}}, true)
+		c.ReceiveAnswer(lost+tick, []forwarding.Load{{Mark: d.Mark, AliveAge: clock.Ago(test.age)}}, true)
 		c.Tick(lost+tick, maxFlow)
 		if c.Served() != test.want {
 			t.Errorf("sign of life %v ago: served %v", test.age, c.Served())
@@ -301,12 +301,12 @@
 					t.Errorf("asks about %+v", i)
 				}
 				c.Asked(now, i.Mark, peers)
-				loads = append(loads, forwarding.Load{Mark: i.Mark, AliveAge: time.Minute})
+				loads = append(loads, forwarding.Load{Mark: i.Mark, AliveAge: clock.Ago(time.Minute)})
 			}
 			if len(loads) < 3 {
 				t.Fatalf("asks about %d servers", len(loads))
 			}
-			loads[len(loads)-1].AliveAge = test.age
+			loads[len(loads)-1].AliveAge = clock.Ago(test.age)
 			for range test.answers {
 				c.ReceiveAnswer(now, loads, true)
 			}
--- a/pkg/connection/forwarding/registry.go
+++ b/pkg/connection/forwarding/registry.go
@@ -32,7 +32,9 @@
 	sends                           bool
 	sendersCount, sendersGeneration int
 	observed                        observations
-	health                          capacity.Server
+	// observedSince is when this instance began to observe the server.
+	observedSince time.Duration
+	health        capacity.Server
 	// state is the state as of the last event, and silentAt when it last became Silent.
 	state    ServerState
 	silentAt time.Duration
@@ -124,7 +126,7 @@
 		if v := c.servers.update(now, mark.Of(after.ID), *after); v != nil {
 			// The server was restarted: its earlier flows are gone.
 			c.flows.removeServer(v)
-			v.observed, v.health = observations{}, capacity.Server{}
+			v.observed, v.observedSince, v.health = observations{}, now, capacity.Server{}
 			c.settle(now, v, EntryChanged, now)
 			v.restart.runFrom, v.restart.runTo = 0, 0
 		}
@@ -169,7 +171,7 @@
 func (r *registry) update(now time.Duration, m mark.Mark, d directory.Server) (restarted *server) {
 	v, known := r.byMark[m]
 	if !known {
-		v = &server{mark: m}
+		v = &server{mark: m, observedSince: now}
 		r.byMark[m] = v
 	}
 	if v.ID != "" && v.ID != d.ID {
--- a/pkg/connection/forwarding/restart.go
+++ b/pkg/connection/forwarding/restart.go
@@ -172,8 +172,8 @@
 		if r.firstSign == 0 {
 			continue
 		}
-		if sign := max(v.observed.others.lastAlive, v.observed.inquiry.lastAlive); r.startedBy == 0 && sign >= r.lastSign+answerTime {
-			r.recordStarted(sign)
+		if sign := v.observed.others.lastAlive.Latest(v.observed.inquiry.lastAlive); r.startedBy == 0 && sign.NotBefore(r.lastSign+answerTime) {
+			r.recordStarted(sign.Or(0))
 		}
 		switch {
 		case r.startedBy == 0 && c.confirmed.NotBefore(r.lastSign+signLapse):
@@ -221,7 +221,7 @@
 	if started == 0 || now < started+coldFor {
 		return false
 	}
-	return v.observed.lastSign() >= started+coldFor/2 || now >= started+signLapse
+	return v.observed.lastSign().NotBefore(started+coldFor/2) || now >= started+signLapse
 }
 
 // entryConfirmed reports whether the server's entry was confirmed after the server answered
--- a/pkg/connection/forwarding/suspended_test.go
+++ b/pkg/connection/forwarding/suspended_test.go
@@ -25,7 +25,7 @@
 		var loads []forwarding.Load
 		for _, i := range core.Inquiries(now) {
 			core.Asked(now, i.Mark, peers)
-			loads = append(loads, forwarding.Load{Mark: i.Mark, AliveAge: time.Minute})
+			loads = append(loads, forwarding.Load{Mark: i.Mark, AliveAge: clock.Ago(time.Minute)})
 		}
 		for range 2 {
 			core.ReceiveAnswer(now, loads, true)
--- a/service/entry/conversions.go
+++ b/service/entry/conversions.go
@@ -64,7 +64,7 @@
 		w.Loads = append(w.Loads, &Load{
 			Mark: uint32(l.Mark), Open: uint32(l.Open), RunningHundredths: uint32(math.Round(l.Running * hundredths)),
 			Failures: uint32(l.Failures), FailedAgeMilliseconds: toMilliseconds(l.FailedAge),
-			Stuck: uint32(l.Stuck), AliveAgeMilliseconds: toMilliseconds(l.AliveAge),
+			Stuck: uint32(l.Stuck), AliveAgeMilliseconds: ageToWire(l.AliveAge),
 			ColdLeftMilliseconds: toMilliseconds(l.ColdLeft),
 			AnsweredHundredths:   toHundredths(l.Evidence.Answered), FailedHundredths: toHundredths(l.Evidence.Failed),
 			AnswerMilliseconds: toMilliseconds(l.Evidence.AnswerTime), EjectedLeftMilliseconds: toMilliseconds(l.EjectedLeft),
@@ -116,7 +116,7 @@
 		m.Loads = append(m.Loads, forwarding.Load{
 			Mark: mark.Mark(l.GetMark()), Open: int(l.GetOpen()), Running: float64(l.GetRunningHundredths()) / hundredths,
 			Failures: int(l.GetFailures()), FailedAge: fromMilliseconds(l.GetFailedAgeMilliseconds()),
-			Stuck: int(l.GetStuck()), AliveAge: fromMilliseconds(l.GetAliveAgeMilliseconds()),
+			Stuck: int(l.GetStuck()), AliveAge: ageFromWire(l.GetAliveAgeMilliseconds()),
 			ColdLeft: fromMilliseconds(l.GetColdLeftMilliseconds()),
 			Evidence: evidenceFromWire(l), EjectedLeft: fromMilliseconds(l.GetEjectedLeftMilliseconds()),
 		})
--- a/service/entry/conversions_test.go
+++ b/service/entry/conversions_test.go
@@ -27,7 +27,7 @@
 		Era: 3, EarlyRevision: 415,
 	},
 	Loads: []forwarding.Load{{
-		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: 2 * time.Second, ColdLeft: time.Second,
+		Mark: 7, Open: 21, Running: 1.25, Failures: 3, FailedAge: time.Second, Stuck: 2, AliveAge: clock.Ago(2 * time.Second), ColdLeft: time.Second,
 		Evidence: capacity.Evidence{Answered: 12.5, Failed: 3.25, AnswerTime: 40 * time.Millisecond}, EjectedLeft: 2 * time.Second,
 	}},
 	Asked: []mark.Mark{7, 9}, Answer: true,
