Read all keys when the changes are too many for a response

Report: another writer leaves an odd entry among those of the servers, of up to 1 MB, and the machines that read the list stop following it. Seen here: with six writes of an entry of 1 MB while the store refused calls for 0.2 s, an instance read the same watch again and again, 20 s later still, and learnt of nothing else. Cause: only a dropped history made the follower read all keys. That changes larger than all keys are given up doesn't help on a fast link, where they may be 250 MB. Besides, each instance kept such an entry, passed it on and read it anew. ReadAll itself doesn't count as lost changes and keeps its pause. Ruled out: a higher limit, as nothing bounds the changes of 20 s.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -131,7 +131,7 @@
 		Name: s.Name, DataCentre: s.DataCentre,
 		Packets: s.Packets, Ready: s.Ready, ReadyPath: platform.ReadyPath, Peers: s.Peers, Seeds: s.Seeds,
 		Format: platform.Format{}, Store: store, Translate: platform.Translate, EncodeInstance: platform.EncodeInstance, EarlyPrefixes: platform.EarlyPrefixes(),
-		HistoryGone:        func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
+		ChangesLost:        platform.ChangesLost,
 		Metrics:            netip.AddrPortFrom(s.Packets.Addr(), metricsPort),
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
 		MaxStretch:         s.Bounds.MaxStretch,
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -96,9 +96,9 @@
 	Seeds  []netip.AddrPort
 	Format Format
 	Store  Store
-	// HistoryGone reports whether a watch failed because the store dropped the
-	// history it needs, so that all keys have to be read again.
-	HistoryGone func(error) bool
+	// ChangesLost reports whether a watch would fail again, as the store dropped the history
+	// that it needs or has too many changes, so that all keys have to be read.
+	ChangesLost func(error) bool
 	Translate   Translate
 	// EarlyPrefixes are the prefixes of small, urgent keys, whose changes are read
 	// early while a large change of another key arrives.
--- a/pkg/process/entry/entry_test.go
+++ b/pkg/process/entry/entry_test.go
@@ -14,7 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/tanagerweir/tanagerweir/pkg/connection/mark"
@@ -123,7 +122,7 @@
 	return entry.Options{
 		Name: name, DataCentre: "near", Packets: freeEndpoint(t), Ready: freeEndpoint(t), ReadyPath: "/ready",
 		Peers: freeEndpoint(t), Seeds: seeds, Format: platform.Format{}, Store: store,
-		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
+		ChangesLost: platform.ChangesLost,
 		Translate:   platform.Translate, EncodeInstance: platform.EncodeInstance, EarlyPrefixes: platform.EarlyPrefixes(),
 		MaxFlow: time.Minute, ColdFactor: 1.5, ColdSlack: 5, Seed: 1,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
--- a/pkg/process/entry/follower.go
+++ b/pkg/process/entry/follower.go
@@ -68,7 +68,7 @@
 	link  *linkBudget
 	// push announces changes from the store to other instances.
 	push        func()
-	historyGone func(error) bool
+	changesLost func(error) bool
 	log         *slog.Logger
 	host        Host
 	guard       *containment.Guard
@@ -87,7 +87,7 @@
 
 func newFollower(o Options, s *state, link *linkBudget, push func(), h Host) *follower {
 	f := &follower{
-		store: o.Store, state: s, link: link, push: push, historyGone: o.HistoryGone, log: o.Logger, host: h,
+		store: o.Store, state: s, link: link, push: push, changesLost: o.ChangesLost, log: o.Logger, host: h,
 		random: rand.New(rand.NewPCG(o.Seed, uint64(len(o.Name)))), readAll: true,
 	}
 	f.loadingSince.Store(notLoading)
@@ -192,9 +192,9 @@
 	case errors.Is(err, errReplicaArrived):
 		f.readAll = false
 		return
-	case f.historyGone(err):
+	case !f.readAll && f.changesLost(err):
 		f.readAll = true
-		f.log.InfoContext(logs.Always(), "Follower: the store dropped its history; reading all keys.", "Revision", f.state.revision())
+		f.log.InfoContext(logs.Always(), "Follower: the changes can't be read; reading all keys.", "Error", err, "Revision", f.state.revision())
 		return
 	case errors.Is(err, errMoreThanAll):
 		f.readAll = true
--- a/pkg/process/entry/fuzz_test.go
+++ b/pkg/process/entry/fuzz_test.go
@@ -12,8 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/tanagerweir/tanagerweir/pkg/clock"
 	"github.com/tanagerweir/tanagerweir/pkg/process/entry"
 	"github.com/tanagerweir/tanagerweir/pkg/process/membership"
@@ -77,7 +75,7 @@
 	host.now = now
 	e, err := entry.NewEngine(entry.Options{
 		Name: "entry-1", DataCentre: "near", Peers: netip.MustParseAddrPort("127.0.0.1:7720"), Format: platform.Format{}, Store: store,
-		HistoryGone: func(err error) bool { return errors.Is(err, platform.ErrHistoryGone) },
+		ChangesLost: platform.ChangesLost,
 		Translate:   platform.Translate, EncodeInstance: platform.EncodeInstance, EarlyPrefixes: platform.EarlyPrefixes(),
 		MaxFlow: time.Minute, ColdFactor: 1.5, ColdSlack: 5, Seed: 1, Logger: slog.New(slog.NewJSONHandler(log, nil)),
 	}, host)
