--- a/pkg/process/entry/transfer_test.go
+++ b/pkg/process/entry/transfer_test.go
@@ -106,6 +106,13 @@
 	return b.buffer.String()
 }
 
+// reset forgets what was written.
+func (b *lockedBuffer) reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.buffer.Reset()
+}
+
 func isReady(o netip.AddrPort) bool {
 	response, err := http.Get("http://" + o.String() + "/ready")
 	if err != nil {
