Keep changes for peers by their size, too

Seen by reading, after the report on odd entries: each instance keeps the last 256 changes for its peers, whatever their size. With a key of 1 MB, which the store allows, that are 256 MB, and a process that may use 284 MB is killed. Done: they are kept as long as they are no larger than all keys, or 64 KB; a peer that needs more is sent all keys, which are smaller then. Test: TestChangesForPeersAreNoLargerThanAllKeys, which failed before with 2 MB for a peer 4 revisions behind and kept growing.

--- a/pkg/version/replica/replica.go
+++ b/pkg/version/replica/replica.go
@@ -31,9 +31,14 @@
 	"time"
 )
 
-// recentLimit is how many changes are kept for peers: about a minute of a
-// deployment in which a few keys change each second.
-const recentLimit = 256
+const (
+	// recentLimit is how many changes are kept for peers: about a minute of a
+	// deployment in which a few keys change each second.
+	recentLimit = 256
+	// minRecentBytes is how much of them is kept at least, also if all keys are smaller.
+	// With changes that are larger than all keys, a peer is better sent these.
+	minRecentBytes = 64 << 10
+)
 
 // Position is a revision in an era of the store. Era 0 is unknown and lower than any
 // other.
@@ -265,12 +270,25 @@
 			r.recent = append(r.recent, c)
 		}
 	}
-	if over := len(r.recent) - recentLimit; over > 0 {
+	if over := r.recentOver(); over > 0 {
 		r.recentSince = r.recent[over-1].Revision
 		r.recent = slices.Clone(r.recent[over:])
 	}
 }
 
+// recentOver returns how many of the kept changes are too many, or too large together. A
+// configuration may have 1 MB, and 256 versions of it would fill an instance's memory.
+func (r *Replica) recentOver() int {
+	bytes := 0
+	for i, c := range slices.Backward(r.recent) {
+		bytes += encodedSize(c)
+		if len(r.recent)-i > recentLimit || bytes > max(r.encodedSize, minRecentBytes) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // EncodedSize returns about how many bytes all keys have as text, with values in base64.
 func (r *Replica) EncodedSize() int { return r.encodedSize }
 
--- a/pkg/version/replica/replica_test.go
+++ b/pkg/version/replica/replica_test.go
@@ -184,3 +184,36 @@
 		}
 	}
 }
+
+// Guards against changes of large keys that are kept by their number alone: 256 versions of a
+// configuration of 1 MB took all memory of an instance.
+func TestChangesForPeersAreNoLargerThanAllKeys(t *testing.T) {
+	r := replica.New()
+	size := func(b replica.Batch) int {
+		total := 0
+		for _, c := range b.Changes {
+			total += len(c.Value)
+		}
+		return total
+	}
+	const large, small = 1 << 20, 100
+	r.Apply(replica.Batch{Whole: true, Revision: 1, Changes: []replica.Change{
+		{Key: "configuration", Value: make([]byte, large), Revision: 1}, {Key: "server", Value: make([]byte, small), Revision: 1},
+	}})
+	for revision := uint64(2); revision < 300; revision++ {
+		c := replica.Change{Key: "configuration", Value: make([]byte, large), Revision: revision}
+		if revision%2 == 0 {
+			c = replica.Change{Key: "server", Value: make([]byte, small), Revision: revision}
+		}
+		r.Apply(replica.Batch{After: revision - 1, Revision: revision, Changes: []replica.Change{c}})
+		for p := uint64(1); p <= revision; p++ {
+			b := r.Since(replica.Position{Revision: p})
+			if got := size(b); got > large+200*small {
+				t.Fatalf("at revision %d, %d bytes for a peer at %d", revision, got, p)
+			}
+			if p == revision-1 && b.Whole && c.Key == "server" {
+				t.Fatalf("at revision %d all keys for a peer that lacks a small change", revision)
+			}
+		}
+	}
+}
