Leave out lines of the log that are too long

Cause: the log bounds its lines by number, 2,048 that wait for a slow reader and 300 at once for each message, and a line may quote what others wrote. The known places quote little now; this bounds all others. Done: lines longer than 16 KB are left out and counted, as other omitted ones are. Test: TestLongLinesAreLeftOutAndCounted, which failed before.

--- a/pkg/process/logs/stream.go
+++ b/pkg/process/logs/stream.go
@@ -13,6 +13,9 @@
 	// ringLines is how many lines can wait for a slow reader of the log: some seconds
 	// of the heaviest load.
 	ringLines = 2048
+	// maxLine is the longest line in bytes: one with a stack has some 5 KB. Longer ones hold
+	// what others wrote, and would fill the memory while they wait.
+	maxLine = 16 << 10
 	// linesPerSecond and burstLines limit the lines with the same message. An instance
 	// of a small deployment forwards up to a hundred requests a second, and one of the
 	// design size places 45 flows a second.
@@ -38,8 +41,9 @@
 	rates map[string]*rate
 	// lastOmissions is when omitted lines were last reported.
 	lastOmissions time.Time
-	// dropped counts lines that didn't fit into the ring since then.
-	dropped int
+	// dropped counts lines that didn't fit into the ring since then, and tooLong those that
+	// were longer than maxLine.
+	dropped, tooLong int
 }
 
 // rate is the token bucket of one message.
@@ -148,14 +152,25 @@
 		omissions = append(omissions, omission{message: "any message: the reader is slow", lines: s.dropped})
 		s.dropped = 0
 	}
+	if s.tooLong > 0 {
+		omissions = append(omissions, omission{message: "any message: the line is too long", lines: s.tooLong})
+		s.tooLong = 0
+	}
 	return omissions
 }
 
 // ringWriter puts formatted lines into the stream's ring.
 type ringWriter struct{ stream *Stream }
 
-// Write queues a copy of one line, or drops and counts it if the ring is full.
+// Write queues a copy of one line, or drops and counts it if the ring is full or the line is
+// too long.
 func (l ringWriter) Write(line []byte) (int, error) {
+	if len(line) > maxLine {
+		l.stream.mu.Lock()
+		l.stream.tooLong++
+		l.stream.mu.Unlock()
+		return len(line), nil
+	}
 	select {
 	case l.stream.ring <- append([]byte(nil), line...):
 	default:
--- a/pkg/process/logs/stream_test.go
+++ b/pkg/process/logs/stream_test.go
@@ -116,3 +116,21 @@
 		t.Errorf("log: %s", r.text.String())
 	}
 }
+
+// Guards against lines that hold megabytes of what others wrote: some hundreds of them may wait
+// for the reader of the log.
+func TestLongLinesAreLeftOutAndCounted(t *testing.T) {
+	var r recorder
+	now := time.Unix(0, 0)
+	log, closeLog := logs.NewStream(&r, levels(t, "info"), func() time.Time { return now })
+	log.Info("Directory: long.", "Text", strings.Repeat("x", 1<<20))
+	log.Info("Directory: a stack.", "Text", strings.Repeat("x", 8<<10))
+	now = now.Add(2 * time.Second)
+	log.Info("Directory: short.")
+	closeLog()
+	for message, want := range map[string]int{"Directory: long.": 0, "Directory: a stack.": 1, "Directory: short.": 1, "Log: lines were left out.": 1} {
+		if got := r.count(t, message); got != want {
+			t.Errorf("%q: %d lines, want %d", message, got, want)
+		}
+	}
+}
