Bound the wait for a slow follower by the time that a change may take

Cause: as long as a follower receives something, all others wait, for up to 5 s, whatever the settings allow. Those that had begun to read stopped at once for the slow one of lower rank, as it counts as one that reads. Done: the settings' configApplyMs and drainMs bound that wait, 0.8 s before the shorter one of them; an instance whose replica is stale goes on until it is confirmed. Ruled out: readers of a few instances only, as a second one may be slow as well. In TestFollowerOfTheNewerEraGoesOnAndTheOtherStops the replica is confirmed before the hello, since only the rank decides then; its checks are the same.

--- a/cmd/tanagerweir/cmds/entry.go
+++ b/cmd/tanagerweir/cmds/entry.go
@@ -135,6 +135,7 @@
 		Metrics:            netip.AddrPortFrom(s.Packets.Addr(), metricsPort),
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
 		MaxStretch:         s.Bounds.MaxStretch,
+		ChangeBound:        s.Bounds.Change,
 		MaxFlow:            s.Bounds.MaxFlow, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, Logger: logger, Seed: rand.Uint64(),
 		Admission: admissionOptions(p), Health: healthOptions(s, p), Off: p.Off,
 	}
--- a/pkg/emulation/world.go
+++ b/pkg/emulation/world.go
@@ -196,6 +196,7 @@
 	}
 	b := w.day.Bounds
 	o.MaxFlow, o.ColdFactor, o.ColdSlack = b.MaxFlow, b.ColdFactor, b.ColdSlack
+	o.ChangeBound = min(b.Configuration, b.Drain)
 	o.Seed = w.seed<<16 + uint64(slices.Index(w.instances, i))<<8 + uint64(i.boot)
 	o.LinkBytesPerSecond = i.bytesPerSecond
 	o.Health.Enabled = w.day.Health
--- a/pkg/process/entry/entry.go
+++ b/pkg/process/entry/entry.go
@@ -109,6 +109,8 @@
 	// LinkBytesPerSecond is the bandwidth of the machine's link, 0 if unknown. Packets
 	// are sent at this rate, and what other instances fetch is kept to a share of it.
 	LinkBytesPerSecond float64
+	// ChangeBound is the time in which a change of the store has to take effect, 0 for none.
+	ChangeBound time.Duration
 	// MaxFlow is how long a flow may last.
 	MaxFlow time.Duration
 	// MaxStretch is how long knowledge of the era before may stay in force after the store
--- a/pkg/process/entry/state.go
+++ b/pkg/process/entry/state.go
@@ -58,9 +58,11 @@
 
 func newState(o Options, d *decider, r *readiness, now func() time.Duration) *state {
 	self := membership.Member{Name: o.Name, DataCentre: o.DataCentre, Endpoint: o.Peers}
+	members := membership.New(self, o.Seeds, o.Seed)
+	members.SetBound(o.ChangeBound)
 	return &state{
 		translate: o.Translate, decider: d, readiness: r, log: o.Logger, now: now,
-		replica: replica.New(), transition: transition.New(o.MaxStretch), directory: directory.New(), members: membership.New(self, o.Seeds, o.Seed),
+		replica: replica.New(), transition: transition.New(o.MaxStretch), directory: directory.New(), members: members,
 	}
 }
 
--- a/pkg/process/membership/era_test.go
+++ b/pkg/process/membership/era_test.go
@@ -57,12 +57,13 @@
 		core.SetEra(2)
 		now := time.Minute
 		core.UpdateFollowing(now)
+		core.Confirm(now)
 		core.ReceiveHello(now, following(older, 1, 900), false)
 		if !core.Following() {
 			t.Errorf("reversed %v: the follower of the newer era stopped", reversed)
 		}
 	}
-	// Of the other instance, only the rank decides, as before.
+	// Of the other instance, only the rank decides, once its replica is confirmed.
 	stopped := 0
 	for _, reversed := range []bool{false, true} {
 		older, newer := pair(t)
@@ -73,6 +74,7 @@
 		core.SetRegistered(0, []membership.Member{older, newer})
 		core.SetEra(1)
 		core.UpdateFollowing(time.Minute)
+		core.Confirm(time.Minute)
 		core.ReceiveHello(time.Minute, following(newer, 2, 5), false)
 		if !core.Following() {
 			stopped++
--- a/pkg/process/membership/knowledge_test.go
+++ b/pkg/process/membership/knowledge_test.go
@@ -49,13 +49,17 @@
 	// disturbance, last held.
 	cutOff      bool
 	disturbedAt time.Duration
-	// delay is how long what it sends takes.
+	// delay is how long what it sends takes, and transfer how long a change takes to arrive from
+	// the store.
 	delay     time.Duration
+	transfer  time.Duration
 	nextHello time.Duration
 	// callBegan is when the present call to the store began, 0 for none, nextCall the earliest
 	// time of the next one, and failed how many failed in a row.
 	callBegan, nextCall time.Duration
 	failed              int
+	// arrivedAt is when the change that arrives now has arrived, 0 for none.
+	arrivedAt time.Duration
 }
 
 type delivery struct {
@@ -90,8 +94,9 @@
 		members = append(members, other.Member)
 	}
 	i.core.SetRegistered(0, members)
+	i.core.SetBound(applied)
 	i.revision, i.down, i.startedAt, i.disturbedAt = 0, false, w.now, w.now
-	i.callBegan, i.nextCall, i.failed = 0, 0, 0
+	i.callBegan, i.nextCall, i.failed, i.arrivedAt = 0, 0, 0, 0
 	i.nextHello = w.now + time.Duration(w.random.Int64N(int64(period)))
 }
 
@@ -118,7 +123,7 @@
 	for end := w.now + d; w.now < end; w.now += step {
 		w.deliver()
 		for _, i := range w.instances {
-			if i.down || i.cutOff || i.delay > 200*time.Millisecond {
+			if i.down || i.cutOff || i.delay > 200*time.Millisecond || i.transfer > 0 {
 				i.disturbedAt = w.now
 			}
 			if i.down {
@@ -167,7 +172,9 @@
 	now := w.now - i.startedAt
 	newest := uint64(len(w.acknowledged))
 	switch {
-	case i.revision > 0 && !i.core.UpdateFollowing(now):
+	case i.arrivedAt > w.now:
+		i.core.Progress(now)
+	case i.revision > 0 && i.arrivedAt == 0 && !i.core.UpdateFollowing(now):
 		i.callBegan = 0
 	case i.callBegan == 0 && w.now >= i.nextCall:
 		i.callBegan = w.now
@@ -176,7 +183,10 @@
 		i.callBegan, i.nextCall = 0, w.now+min(100*time.Millisecond<<i.failed, 1500*time.Millisecond)
 		i.failed++
 	case i.cutOff:
+	case i.revision < newest && i.arrivedAt == 0 && i.transfer > 0:
+		i.arrivedAt = w.now + i.transfer
 	case i.revision < newest && w.now > i.callBegan:
+		i.arrivedAt = 0
 		w.lastRead = w.now
 		i.revision = newest
 		i.core.Confirm(i.callBegan - i.startedAt)
@@ -307,3 +317,16 @@
 		}
 	}
 }
+
+// Guards against a follower whose link to the store is slow, for which all others wait for
+// longer than a change may take: they reach the store, and have to read it themselves, and not
+// to stop since the slow one still receives something.
+func TestSlowFollowerKeepsNobodyWaiting(t *testing.T) {
+	eachFleet(t, func(t *testing.T, w *world) {
+		w.follower(t).transfer = 4 * time.Second
+		for range 3 {
+			w.write()
+			w.run(6*time.Second, func() { w.requireApplied(t) })
+		}
+	})
+}
--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -58,6 +58,10 @@
 	// large change: then they follow too, in case their links are faster. A
 	// configuration of 400 KB takes 1.7 s on a link of 2 Mbit/s.
 	maxTransfer = 5 * time.Second
+	// readReserve is the part of the time in which a change has to take effect that is left
+	// when they stop to wait: they check each 0.1 s whether they have to follow, read the
+	// change and send it to the others.
+	readReserve = 800 * time.Millisecond
 	// aliveFor is how long an instance counts as alive after its last hello.
 	aliveFor = 5 * time.Second
 	// followerFanout is how many instances a follower sends its state to in one
@@ -141,7 +145,9 @@
 	// startupRandom its share of startupJitter.
 	followAfter   time.Duration
 	startupRandom time.Duration
-	following     bool
+	// maxWait is how old a confirmation may become while a follower is receiving something.
+	maxWait   time.Duration
+	following bool
 	// followingSince is when this instance began to follow, and ownReading when it last
 	// received something from the store.
 	followingSince time.Duration
@@ -172,6 +178,7 @@
 	c := &Core{
 		self: self, rank: rankOf(self.Name), peers: make(map[string]*peer), random: r,
 		followAfter:        StaleAfter + time.Duration(r.Int64N(int64(staleJitter))),
+		maxWait:            maxTransfer,
 		startupRandom:      time.Duration(r.Int64N(int64(startupJitter))),
 		start:              newStart(self.Name, seed),
 		heardConfirmations: make(heard), heardReadings: make(heard),
@@ -180,6 +187,15 @@
 	return c
 }
 
+// SetBound sets in which time a change has to take effect at all instances. Those that reach
+// the store don't wait for a slow follower for longer than that allows. 0 stands for no bound.
+func (c *Core) SetBound(bound time.Duration) {
+	c.maxWait = maxTransfer
+	if bound > 0 {
+		c.maxWait = min(maxTransfer, bound-readReserve)
+	}
+}
+
 // SetSeeds replaces the endpoints that are contacted while no instance is known. The
 // own endpoint is left out.
 func (c *Core) SetSeeds(seeds []netip.AddrPort) {
@@ -304,9 +320,10 @@
 
 // yields reports whether this instance stops following since another one follows that read the
 // store at that time: lately, and its rank is lower, or this instance hasn't read it for long.
-// A follower that is cut off from the store reads nothing, so that nobody stops for it.
+// A follower that is cut off from the store reads nothing, so that nobody stops for it. One that
+// receives a change slowly confirms nothing meanwhile, so that those whose replica is stale go on.
 func (c *Core) yields(now time.Duration, follower string, read clock.Time) bool {
-	if !read.Age(now).AtMost(StaleAfter) {
+	if !read.Age(now).AtMost(StaleAfter) || !c.ConfirmedAge(now).AtMost(StaleAfter) {
 		return false
 	}
 	return rankOf(follower) < c.rank || now-c.followingSince > StaleAfter && !c.ownReading.Age(now).AtMost(StaleAfter)
@@ -365,7 +382,7 @@
 // receiving a change. An instance whose replica was never confirmed waits from its start on.
 func (c *Core) UpdateFollowing(now time.Duration) bool {
 	age := c.ConfirmedAge(now).Or(now)
-	if age <= maxTransfer {
+	if age <= c.maxWait {
 		age = min(age, c.ReadAge(now).Or(age))
 	}
 	if !c.following && age > c.MaxConfirmedAge() {
--- a/pkg/process/membership/membership_test.go
+++ b/pkg/process/membership/membership_test.go
@@ -264,14 +264,17 @@
 		name string
 		// progressAge returns how long ago the follower received something.
 		progressAge func(now time.Duration) time.Duration
-		want        time.Duration
+		bound, want time.Duration
 	}{
-		{"receives", func(time.Duration) time.Duration { return 50 * time.Millisecond }, 5 * time.Second},
-		{"stops to receive", func(now time.Duration) time.Duration { return max(now-2*time.Second, 0) }, 2*time.Second + membership.StaleAfter},
-		{"receives nothing", func(now time.Duration) time.Duration { return now }, membership.StaleAfter},
+		{"receives", func(time.Duration) time.Duration { return 50 * time.Millisecond }, 0, 5 * time.Second},
+		{"receives, a long bound", func(time.Duration) time.Duration { return 50 * time.Millisecond }, time.Minute, 5 * time.Second},
+		{"receives, a bound of 3 s", func(time.Duration) time.Duration { return 50 * time.Millisecond }, 3 * time.Second, 2200 * time.Millisecond},
+		{"stops to receive", func(now time.Duration) time.Duration { return max(now-2*time.Second, 0) }, 0, 2*time.Second + membership.StaleAfter},
+		{"receives nothing", func(now time.Duration) time.Duration { return now }, 0, membership.StaleAfter},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			core := membership.New(membership.Member{Name: "entry-2", DataCentre: "centre"}, nil, 1)
+			core.SetBound(c.bound)
 			core.Confirm(0)
 			followsAt := time.Duration(0)
 			for now := time.Duration(0); followsAt == 0 && now < time.Minute; now += period {
--- a/pkg/process/membership/unconfirmed_test.go
+++ b/pkg/process/membership/unconfirmed_test.go
@@ -69,3 +69,34 @@
 		t.Errorf("a follower tells of progress %v ago", h.FollowerAge)
 	}
 }
+
+// Guards against an instance that begins to read the store, since its replica is stale, and
+// stops before it has read anything, as a follower of lower rank still receives a change.
+func TestStaleInstanceReadsOnBesideASlowFollower(t *testing.T) {
+	stopped := 0
+	for _, reversed := range []bool{false, true} {
+		self, other := pair(t)
+		if reversed {
+			self, other = other, self
+		}
+		core := membership.New(self, nil, 1)
+		core.SetRegistered(0, []membership.Member{self, other})
+		core.Confirm(0)
+		now := 10 * time.Second
+		core.UpdateFollowing(now)
+		slow := following(other, 0, 8)
+		slow.ConfirmedAge = clock.Ago(now)
+		core.ReceiveHello(now, slow, true)
+		if !core.Following() {
+			t.Errorf("reversed %v: stopped for a follower that confirms nothing", reversed)
+		}
+		core.Confirm(now)
+		core.ReceiveHello(now, slow, true)
+		if !core.Following() {
+			stopped++
+		}
+	}
+	if stopped != 1 {
+		t.Errorf("%d of two stopped once their replicas were confirmed", stopped)
+	}
+}
