--- a/pkg/process/membership/membership.go
+++ b/pkg/process/membership/membership.go
@@ -152,11 +152,11 @@
 	// received something from the store.
 	followingSince time.Duration
 	ownReading     clock.Time
-	// start identifies this start of the instance, and confirmations and readings count the
-	// responses of the store, and the parts of them.
+	// start identifies this start of the instance. confirmations counts the responses of the
+	// store that it got, and readings these and their parts.
 	start                   uint32
 	confirmations, readings uint32
-	// heardConfirmations and heardReadings are what is known of all instances' ones.
+	// heardConfirmations and heardReadings hold the latest ones of all instances.
 	heardConfirmations, heardReadings heard
 	// periods counts the periods in which messages were sent.
 	periods int
@@ -326,7 +326,8 @@
 	if !read.Age(now).AtMost(StaleAfter) || !c.ConfirmedAge(now).AtMost(StaleAfter) {
 		return false
 	}
-	return rankOf(follower) < c.rank || now-c.followingSince > StaleAfter && !c.ownReading.Age(now).AtMost(StaleAfter)
+	readsNothing := now-c.followingSince > StaleAfter && !c.ownReading.Age(now).AtMost(StaleAfter)
+	return rankOf(follower) < c.rank || readsNothing
 }
 
 // Confirm records that this instance's replica was the newest at the given time, as the
@@ -405,15 +406,15 @@
 func (c *Core) Following() bool { return c.following }
 
 // Follower returns the name of the known follower with the lowest rank, which may be this
-// instance; it is empty for none. ReadBy returns the
-// name of the instance by whose word its last reading is known, and ConfirmedBy that of the one
-// by whose word the replica was last confirmed.
+// instance; it is empty for none.
 func (c *Core) Follower() string { return c.follower }
 
-// ReadBy is described at Follower.
+// ReadBy returns the name of the instance by whose word the follower's last reading is known,
+// empty for none.
 func (c *Core) ReadBy() string { return c.readBy }
 
-// ConfirmedBy is described at Follower.
+// ConfirmedBy returns the name of the instance by whose word the replica was last confirmed,
+// empty for none.
 func (c *Core) ConfirmedBy() string { return c.confirmedBy }
 
 // DataCentrePeers returns the endpoints of all known other instances of the own data
--- a/pkg/process/membership/source.go
+++ b/pkg/process/membership/source.go
@@ -42,9 +42,9 @@
 	at     clock.Time
 }
 
-// place returns when something was that was so long ago by a message received now. What was
-// heard of before isn't moved to a later time, and nothing to a later time than what came after
-// it.
+// place returns the time of something that a message received now says was so long ago. If it
+// was heard of before, it keeps the earliest time of all messages, and it is never later than
+// what the same start got after it.
 func (h heard) place(now time.Duration, s Source, age clock.Age) clock.Time {
 	at := age.Before(now)
 	if s.Start == 0 || !at.Known() {
