Start a process of the soak once for restarts that overlap

Cause: two faults that end the same process both wait for its end, and each started it again; only the last one is known and ended with the run. The close of the run didn't wait for a start under way. Done: a restart starts a process only if no other one has since. Not covered by a test: the order can't be forced from outside; the processes are counted after the soaks by hand that follow.

--- a/cmd/internal/soak/instance.go
+++ b/cmd/internal/soak/instance.go
@@ -50,6 +50,10 @@
 	proxy      *proxy
 	inRotation atomic.Bool
 
+	// restarting is held while a process is started again: faults overlap, and one process may
+	// be waited for by several restarts.
+	restarting sync.Mutex
+
 	mu      sync.Mutex
 	process *exec.Cmd // started last
 	// launches is how often a process was started.
@@ -150,10 +154,9 @@
 		<-exited
 	}
 	wait(ctx, restartDelay)
-	i.mu.Lock()
-	ended := i.closed
-	i.mu.Unlock()
-	if ctx.Err() != nil || ended {
+	i.restarting.Lock()
+	defer i.restarting.Unlock()
+	if ctx.Err() != nil || !i.needsStart(exited) {
 		return
 	}
 	if err := i.launch(); err != nil {
@@ -161,8 +164,17 @@
 	}
 }
 
+// needsStart reports whether no other restart has started a process since the one that ended.
+func (i *instance) needsStart(exited chan struct{}) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.closed && i.exited == exited
+}
+
 // close kills the process, paused or not, and prevents its restart.
 func (i *instance) close() {
+	i.restarting.Lock()
+	defer i.restarting.Unlock()
 	i.mu.Lock()
 	i.closed = true
 	exited := i.exited
