--- a/pkg/process/entry/odd_test.go
+++ b/pkg/process/entry/odd_test.go
@@ -18,9 +18,8 @@
 )
 
 const (
-	// maxValue is the longest value that the store holds, and maxRead is less than the length
-	// from which on an entry of a server is read as empty.
-	maxValue, maxRead = 1 << 20, 15 << 10
+	// maxValue is the longest value that the store holds.
+	maxValue = 1 << 20
 	// maxLine is the longest line that a log should have.
 	maxLine = 8 << 10
 )
@@ -28,18 +27,18 @@
 // oddEntries returns entries of another writer, by what is odd about them. Those that are
 // usual otherwise have the given address.
 func oddEntries(address netip.AddrPort) map[string]string {
-	digits, text := strings.Repeat("9", maxRead-200), strings.Repeat("\\u0000x", maxRead/8)
+	digits, text := strings.Repeat("9", maxValue/2), strings.Repeat("\\u0000x", maxValue/8)
 	odd := map[string]string{
 		"nothing": "", "null": "null", "a list": "[]", "a text": `"board"`, "bytes": "\xff\xfe\x00\x80", "half an entry": `{"service":"board","add`,
-		"lists in lists, not closed": strings.Repeat("[", maxRead), "objects in objects, not closed": strings.Repeat(`{"a":`, maxRead/5),
-		"lists in lists": nested(maxRead / 2), "only digits": digits,
-		"1 MB of lists in lists": nested(maxValue / 2), "1 MB in a field": oddEntry(address, "zone", `"`+strings.Repeat("x", maxValue-200)+`"`),
+		"lists in lists, not closed": strings.Repeat("[", maxValue-1), "objects in objects, not closed": strings.Repeat(`{"a":`, maxValue/5-1),
+		"lists in lists": strings.Repeat("[", maxValue/2-1) + strings.Repeat("]", maxValue/2-1),
+		"only digits":    digits,
 	}
 	for field, values := range map[string][]string{
-		"service":    {`null`, `7`, `[]`, `""`, `"` + text + `"`, nested(maxRead/2 - 200)},
-		"zone":       {`null`, `7`, `"` + text + `"`, nested(7000)},
+		"service":    {`null`, `7`, `[]`, `""`, `"` + text + `"`, nested(maxValue / 4)},
+		"zone":       {`null`, `7`, `"` + text + `"`, nested(9000)},
 		"address":    {`null`, `7`, `"10.0.0.1:65536"`, `"10.0.0.1:99999999999999999999"`, `"10.0.0.1:-1"`, `"10.0.0.1:0"`, `"10.0.0.1"`, `"[::1]:80"`, `"host:80"`, `"10.0.0.1:` + digits + `"`, `"` + text + `"`, `"0.0.0.0:80"`, `"255.255.255.255:80"`, `"224.0.0.1:80"`},
-		"slots":      {`null`, `"3"`, `0`, `-1`, `1.5`, `1e400`, `9223372036854775808`, digits, nested(7000)},
+		"slots":      {`null`, `"3"`, `0`, `-1`, `1.5`, `1e400`, `9223372036854775808`, digits, nested(9000)},
 		"state":      {`null`, `7`, `"sleeping"`, `"` + text + `"`},
 		"coldLeftMs": {`null`, `"0"`, `-1`, `1e400`, "-" + digits},
 		"born":       {`null`, `"7"`, `1.5`, `1e400`, `9223372036854775808`, digits, `{}`},
@@ -108,9 +107,13 @@
 		stand.Put("servers/i-bad", []byte(odd[name]))
 		stand.Put("op/config", fmt.Appendf(nil, configuration, version))
 		inForce := fmt.Sprintf(`"Version":%d,`, version)
+		began := time.Now()
 		waitUntil(t, name+": both instances follow", func() bool {
 			return strings.Contains(readerLog.String(), inForce) && strings.Contains(otherLog.String(), inForce)
 		})
+		if took := time.Since(began); took > 3*time.Second {
+			t.Errorf("%s: in force after %v", name, took)
+		}
 		for n := range 3 {
 			send(t, reader.Packets, synPacket(t, uint16(40000+3*version+n)))
 			if !received(usual.conn) {
@@ -156,9 +159,9 @@
 	return log
 }
 
-// Guards against an instance that reads the same changes again and again, for as long as the
-// store keeps them, since they are longer than a response may be: another writer writes an entry
-// of 800 KB each second, and the store doesn't answer for a while.
+// Guards against an instance that reads the same changes again and again, since they are longer
+// than a response may be: another writer writes an entry of 1 MB each second, and the store
+// doesn't answer for a while.
 func TestLargeEntriesDontKeepTheFollowerFromReading(t *testing.T) {
 	stand, store := stores(t)
 	stand.Put("op/config", fmt.Appendf(nil, configuration, 1))
@@ -166,12 +169,15 @@
 	o.LinkBytesPerSecond = 125e6
 	log := startBounded(t, o)
 	stand.SetFault(standin.Fault{Status: 503})
-	// In base64 these are 4.4 MB.
-	for range 4 {
-		stand.Put("servers/i-bad", bytes.Repeat([]byte("x"), 800<<10))
+	for range 6 {
+		stand.Put("servers/i-bad", bytes.Repeat([]byte("x"), maxValue))
 	}
 	stand.Put("op/config", fmt.Appendf(nil, configuration, 2))
 	time.Sleep(200 * time.Millisecond)
 	stand.SetFault(standin.Fault{})
+	began := time.Now()
 	waitUntil(t, "the configuration is in force", func() bool { return strings.Contains(log.String(), `"Version":2,`) })
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("in force after %v", took)
+	}
 }
--- a/pkg/process/membership/knowledge_test.go
+++ b/pkg/process/membership/knowledge_test.go
@@ -231,11 +231,7 @@
 func eachFleet(t *testing.T, test func(t *testing.T, w *world)) {
 	t.Helper()
 	for _, size := range fleetSizes {
-		seeds := uint64(5)
-		if size[1] > 10 {
-			seeds = 2
-		}
-		for seed := range seeds {
+		for seed := range uint64(5) {
 			t.Run(fmt.Sprintf("%dx%d/seed=%d", size[0], size[1], seed+1), func(t *testing.T) { test(t, newWorld(size[0], size[1], seed+1)) })
 		}
 	}
@@ -304,7 +300,7 @@
 // Guards against ages that lose something at each hop: in a fleet whose follower ended, the
 // confirmations of all have to grow old as fast as time passes.
 func TestConfirmationsGrowOldInALargeFleet(t *testing.T) {
-	w := newWorld(3, 50, 1)
+	w := newWorld(3, 98, 1)
 	gone := w.follower(t)
 	for _, i := range w.instances {
 		i.cutOff = true
