Review: an instance of the production version keeps others from reading the store

Cause: the present build still takes the age in a message without a source as it stands, and the production version says of its keys that they were confirmed when it started.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -60,7 +61,9 @@
 	mu      sync.Mutex
 	replies map[uint16]chan reply
 	sent    map[uint16]time.Time
-	resets  []foreignReset
+	// taken holds the instances that took a flow's opening packets.
+	taken  map[uint16][]string
+	resets []foreignReset
 }
 
 // newClients returns clients that share the link of the address with that last number.
@@ -70,17 +73,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen as clients")
 	}
-	c := &clients{world: w, name: name, conn: conn, address: address, replies: make(map[uint16]chan reply), sent: make(map[uint16]time.Time)}
+	c := &clients{world: w, name: name, conn: conn, address: address, replies: make(map[uint16]chan reply), sent: make(map[uint16]time.Time), taken: make(map[uint16][]string)}
 	c.ports.Store(20000)
 	w.tasks.Go(c.run)
 	return c, nil
 }
 
-// openedAt returns when the first opening packet of a flow was sent.
-func (c *clients) openedAt(caller netip.AddrPort) time.Time {
+// openedAt returns when the first opening packet of a flow was sent, and which instances took
+// its opening packets.
+func (c *clients) openedAt(caller netip.AddrPort) (sent time.Time, taken []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent[caller.Port()]
+	return c.sent[caller.Port()], slices.Clone(c.taken[caller.Port()])
 }
 
 // run hands packets to their flows.
@@ -140,6 +144,11 @@
 		return
 	}
 	f.lastInstance = i.name
+	if s.Flags.Has(segment.Open) {
+		f.clients.mu.Lock()
+		f.clients.taken[f.key.Caller.Port()] = append(f.clients.taken[f.key.Caller.Port()], i.name)
+		f.clients.mu.Unlock()
+	}
 	s.Flow, s.Mark = f.key, f.mark
 	_, _ = f.clients.conn.WriteToUDPAddrPort(standin.Packet(s, data), netip.AddrPortFrom(i.address, f.clients.world.packetPort))
 }
@@ -264,3 +273,28 @@
 	}
 	return endpoint.String()
 }
+
+// loopShort opens a flow for each request.
+func (c *clients) loopShort(pause time.Duration) {
+	for c.world.context.Err() == nil {
+		f := c.newFlow()
+		if f.open() {
+			f.request()
+			f.finish()
+		}
+		time.Sleep(pause + time.Duration(rand.Int64N(int64(pause/5))))
+	}
+}
+
+// foreignResets returns the number of resets that the flow's target didn't send, and that of
+// requests that waited for an answer then.
+func (c *clients) foreignResets() (resets, unanswered int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.resets {
+		if x.pending != "" {
+			unanswered++
+		}
+	}
+	return len(c.resets), unanswered
+}
--- a/review/standin2/instance.go
+++ b/review/standin2/instance.go
@@ -25,6 +25,12 @@
 	missLimit   = 2
 )
 
+// Programs of the present build and of the production version.
+const (
+	currentProgram    = "target/tanagerweir"
+	productionProgram = "target/review-2-production/tanagerweir"
+)
+
 // zones are the names of the zones.
 var zones = []string{"plateau", "almadies"}
 
@@ -35,13 +41,20 @@
 	address    netip.Addr
 	settings   string
 	inRotation atomic.Bool
-	process    *exec.Cmd
-	exited     chan struct{}
+	proxy      *proxy
+	// program is the path of the build that runs.
+	program string
+	process *exec.Cmd
+	exited  chan struct{}
 }
 
 // newInstance prepares the settings of instance n. Every second one is in another zone.
 func newInstance(w *world, n int) (*instance, error) {
-	i := &instance{world: w, name: fmt.Sprintf("front-%d", n+1), address: w.address(10 + n)}
+	i := &instance{world: w, name: fmt.Sprintf("front-%d", n+1), address: w.address(10 + n), program: currentProgram}
+	var err error
+	if i.proxy, err = newProxy(w.store.Endpoint()); err != nil {
+		return nil, err
+	}
 	i.settings = filepath.Join(w.directory, i.name+".toml")
 	return i, os.WriteFile(i.settings, []byte(i.settingsText(n)), 0o600)
 }
@@ -102,7 +115,7 @@
 historyS = 20
 minTtlMs = 1000
 `, i.name, i.address, zones[n%len(zones)], w.peerPort, w.peerPort, strings.Join(seeds, ", "),
-		i.address, w.packetPort, i.address, w.readyPort, i.address, w.controlPort, w.store.Endpoint())
+		i.address, w.packetPort, i.address, w.readyPort, i.address, w.controlPort, i.proxy.endpoint())
 }
 
 // launch starts the process with the command of the deploy file.
@@ -112,7 +125,7 @@
 		return errors.Wrap(err, "open the log")
 	}
 	defer func() { _ = log.Close() }()
-	command := exec.Command("target/tanagerweir", "entry")
+	command := exec.Command(i.program, "entry")
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+i.settings)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
@@ -124,7 +137,7 @@
 		close(exited)
 	}()
 	i.process, i.exited = command, exited
-	i.world.record("%s started", i.name)
+	i.world.record("%s started, %s", i.name, i.program)
 	return nil
 }
 
@@ -160,6 +173,7 @@
 		_ = i.process.Process.Kill()
 		<-i.exited
 	}
+	i.proxy.close()
 }
 
 // probe probes readiness as the platform does, until the context ends.
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -16,7 +16,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit statuses.
@@ -26,13 +28,25 @@
 	exitFailed
 )
 
+// endOnSignal ends the case's processes when it is interrupted.
+func (w *world) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	<-signals
+	for _, i := range w.instances {
+		i.close()
+	}
+	_ = os.RemoveAll(w.directory)
+	os.Exit(exitFailed)
+}
+
 // runCase plays one case, and returns whether the rule was broken.
 type runCase func(w *world, trouble bool) (broken bool, err error)
 
 var cases = map[string]runCase{
-	"marks":   runMarks,
 	"restart": runRestart,
 	"office":  runOffice,
+	"upgrade": runUpgrade,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -48,6 +62,7 @@
 		return exitFailed
 	}
 	defer w.close()
+	go w.endOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.record("case %s, trouble %t", args[0], trouble)
 	broken, err := cases[args[0]](w, trouble)
--- a/review/standin2/office.go
+++ b/review/standin2/office.go
@@ -19,7 +19,10 @@
 			return false, err
 		}
 	}
-	if err := w.startInstances(3); err != nil {
+	if err := w.addInstances(3); err != nil {
+		return false, err
+	}
+	if err := w.startInstances(); err != nil {
 		return false, err
 	}
 	office, err := newClients(w, "office", 201)
@@ -28,10 +31,10 @@
 	}
 	defer func() { _ = office.conn.Close() }()
 	w.pause(3 * time.Second)
-	for range 12 {
+	for range 26 {
 		w.tasks.Go(func() { w.clients.loopPaused(2 * time.Second) })
 	}
-	for range 40 {
+	for range 26 {
 		w.tasks.Go(func() { office.loopPaused(800 * time.Millisecond) })
 	}
 	w.pause(6 * time.Second)
--- a/review/standin2/restart.go
+++ b/review/standin2/restart.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"math/rand/v2"
+	"fmt"
 	"slices"
 	"time"
 
@@ -14,6 +14,13 @@
 	coldRate  = 4
 	coldBound = coldRate*1.5 + 5
 	coldTime  = 2 * time.Second
+	// downTime is how long the target's process is down, and wavePeriod the time between two
+	// waves of clients.
+	downTime   = 300 * time.Millisecond
+	wavePeriod = 2500 * time.Millisecond
+	// One of targetCount targets restarts, and waveClients come in a wave.
+	targetCount = 7
+	waveClients = 168
 )
 
 // runRestart starts a target again under its identifier while the store is silent. The rule
@@ -21,8 +28,8 @@
 func runRestart(w *world, trouble bool) (bool, error) {
 	w.configure("safe", coldRate)
 	var first *target
-	for n, id := range []string{"i-0d00000001", "i-0d00000002"} {
-		t, err := w.addTarget(id, zones[0], 10*time.Millisecond)
+	for n := range targetCount {
+		t, err := w.addTarget(fmt.Sprintf("i-0d%08x", n+1), zones[n%len(zones)], 10*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
@@ -30,25 +37,31 @@
 			first = t
 		}
 	}
-	if err := w.startInstances(3); err != nil {
+	if err := w.addInstances(3); err != nil {
+		return false, err
+	}
+	if err := w.startInstances(); err != nil {
 		return false, err
 	}
 	w.pause(3 * time.Second)
-	for range 40 {
-		w.tasks.Go(func() { w.clients.loopShort(500 * time.Millisecond) })
+	began := time.Now()
+	for n := range 5 {
+		wave := began.Add(time.Duration(n+1) * wavePeriod)
+		w.tasks.Go(func() { w.clients.openAt(wave, waveClients) })
 	}
-	w.pause(4 * time.Second)
+	w.pause(2*wavePeriod - 500*time.Millisecond)
 	if trouble {
 		w.record("the store is silent")
 		w.store.SetFault(standin.Fault{Silent: true})
 	}
-	w.pause(time.Second)
-	first.crash(50 * time.Millisecond)
+	w.pause(time.Second) // the second wave is over
+	first.crash(downTime)
 	started := time.Now()
 	if !trouble {
 		first.announce("ready", coldTime)
 	}
-	w.pause(3400 * time.Millisecond)
+	w.pause(coldTime + 500*time.Millisecond)
+	w.record("the store answers")
 	w.store.SetFault(standin.Fault{})
 	first.announce("ready", 0)
 	w.pause(time.Second)
@@ -77,14 +90,17 @@
 	return most
 }
 
-// loopShort opens a flow for each request.
-func (c *clients) loopShort(pause time.Duration) {
-	for c.world.context.Err() == nil {
-		f := c.newFlow()
-		if f.open() {
-			f.request()
-			f.finish()
-		}
-		time.Sleep(pause + time.Duration(rand.Int64N(int64(pause/5))))
+// openAt lets that many clients open a flow each and send a request, within 0.3 s from a time on.
+func (c *clients) openAt(at time.Time, count int) {
+	time.Sleep(time.Until(at))
+	for range count {
+		c.world.tasks.Go(func() {
+			f := c.newFlow()
+			if f.open() {
+				f.request()
+				f.finish()
+			}
+		})
+		time.Sleep(300 * time.Millisecond / time.Duration(count))
 	}
 }
--- a/review/standin2/target.go
+++ b/review/standin2/target.go
@@ -41,8 +41,12 @@
 	ran map[string]int
 }
 
-// opening is the time when a flow's opening packet was sent, and that when it arrived.
-type opening struct{ sent, arrived time.Time }
+// opening is the time when a flow's opening packet was sent, that when it arrived, and the
+// instances that took it or its copies.
+type opening struct {
+	sent, arrived time.Time
+	taken         []string
+}
 
 // targetFlow is a flow at a target.
 type targetFlow struct {
@@ -137,7 +141,8 @@
 		return
 	case !f.open && s.Acknowledged == f.sequence+1:
 		f.open = true
-		t.opened = append(t.opened, opening{sent: t.world.clients.openedAt(s.Flow.Caller), arrived: f.arrived})
+		sent, taken := t.world.clients.openedAt(s.Flow.Caller)
+		t.opened = append(t.opened, opening{sent: sent, arrived: f.arrived, taken: taken})
 		f.sequence++
 	}
 	f.mark = s.Mark
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -143,8 +143,8 @@
 		`"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, routeEndpoint.Addr(), routeEndpoint.Port(), kind, coldPerSecond))
 }
 
-// startInstances starts that many instances, and returns once all are ready.
-func (w *world) startInstances(n int) error {
+// addInstances prepares that many instances.
+func (w *world) addInstances(n int) error {
 	for k := range n {
 		i, err := newInstance(w, k)
 		if err != nil {
@@ -152,6 +152,11 @@
 		}
 		w.instances = append(w.instances, i)
 	}
+	return nil
+}
+
+// startInstances starts all instances, and returns once they are ready.
+func (w *world) startInstances() error {
 	for _, i := range w.instances {
 		if err := i.launch(); err != nil {
 			return err
